--- /dev/null
+++ b/api/tools.go
@@ -0,0 +1,5 @@
+//go:build tools
+
+package api
+
+import _ "github.com/ogen-go/ogen/cmd/ogen"
--- /dev/null
+++ b/internal/accord/state.go
@@ -0,0 +1,193 @@
+// State is what the cores agree on: configuration items, evacuations and
+// claimed operation keys. It changes only by applying committed commands in
+// order, so every core comes to the same state; nothing in it depends on a
+// clock. The age of a claim is kept beside it, counted on the steady clock
+// from the moment this core applied it, and only the leader turns age into an
+// Expire command.
+package accord
+
+import (
+	"bytes"
+	"encoding/gob"
+	"time"
+
+	"tinpin/internal/canon"
+)
+
+// CommandKind tells commands apart.
+type CommandKind uint8
+
+// The commands.
+const (
+	CommandConfig CommandKind = iota + 1
+	CommandEvacuate
+	CommandReturn
+	CommandClaim
+	CommandFree
+	CommandExpire
+	CommandBarrier
+)
+
+// Command is one wish put before the cores.
+type Command struct {
+	Kind CommandKind
+	Body []byte
+	Site string
+	Claim
+	Upto uint64
+}
+
+// Claim says which daemon holds an operation key and for which request.
+type Claim struct {
+	Key     string
+	Request string
+	Holder  string
+	Life    uint64
+}
+
+// Result is what applying a command gave.
+type Result struct {
+	Problem string
+	Granted bool
+	Held    Claim
+}
+
+// Evacuation is the standing order for one site, with the place of its last change.
+type Evacuation struct {
+	Site   string
+	Active bool
+	Rev    uint64
+}
+
+type heldClaim struct {
+	Claim
+	Seq uint64
+	at  time.Duration
+}
+
+// State is the agreed state.
+type State struct {
+	Canon       *canon.Canon
+	Evacuations map[string]Evacuation
+	claims      map[string]*heldClaim
+	order       []*heldClaim
+	seq         uint64
+	Rev         uint64
+}
+
+// NewState is empty.
+func NewState() (state *State) {
+	return &State{Canon: canon.New(), Evacuations: map[string]Evacuation{}, claims: map[string]*heldClaim{}}
+}
+
+// Claims counts the keys held.
+func (s *State) Claims() int { return len(s.claims) }
+
+// Held looks a key up.
+func (s *State) Held(key string) (claim Claim, held bool) {
+	found, held := s.claims[key]
+	if !held {
+		return claim, false
+	}
+	return found.Claim, true
+}
+
+// Apply carries one command out at the log's place rev; now is this core's
+// steady clock.
+func (s *State) Apply(rev uint64, command Command, now time.Duration) (result Result) {
+	switch command.Kind {
+	case CommandConfig:
+		if err := s.Canon.Apply(command.Body, rev); err != nil {
+			return Result{Problem: err.Error()}
+		}
+		s.Rev = rev
+	case CommandEvacuate, CommandReturn:
+		active := command.Kind == CommandEvacuate
+		if standing := s.Evacuations[command.Site]; standing.Active != active {
+			s.Evacuations[command.Site] = Evacuation{Site: command.Site, Active: active, Rev: rev}
+			s.Rev = rev
+		}
+	case CommandClaim:
+		if held, taken := s.claims[command.Key]; taken {
+			return Result{Held: held.Claim, Granted: held.Claim == command.Claim}
+		}
+		s.seq++
+		claim := &heldClaim{Claim: command.Claim, Seq: s.seq, at: now}
+		s.claims[command.Key] = claim
+		s.order = append(s.order, claim)
+	case CommandFree:
+		if held, taken := s.claims[command.Key]; taken && held.Claim == command.Claim {
+			delete(s.claims, command.Key)
+		}
+	case CommandExpire:
+		cut := 0
+		for cut < len(s.order) && s.order[cut].Seq <= command.Upto {
+			if s.claims[s.order[cut].Key] == s.order[cut] {
+				delete(s.claims, s.order[cut].Key)
+			}
+			cut++
+		}
+		s.order = append([]*heldClaim(nil), s.order[cut:]...)
+	}
+	return Result{Granted: true}
+}
+
+// Expirable gives the place up to which claims are older than window.
+func (s *State) Expirable(now, window time.Duration) (upto uint64) {
+	for _, claim := range s.order {
+		if now-claim.at <= window {
+			break
+		}
+		upto = claim.Seq
+	}
+	return upto
+}
+
+type frozen struct {
+	Canon       []canon.Item
+	Evacuations map[string]Evacuation
+	Claims      []Claim
+	Seqs        []uint64
+	Seq, Rev    uint64
+}
+
+// Freeze writes the state out for a snapshot.
+func (s *State) Freeze() (data []byte, err error) {
+	still := frozen{Canon: s.Canon.Items(), Evacuations: s.Evacuations, Seq: s.seq, Rev: s.Rev}
+	for _, claim := range s.order {
+		if s.claims[claim.Key] == claim {
+			still.Claims = append(still.Claims, claim.Claim)
+			still.Seqs = append(still.Seqs, claim.Seq)
+		}
+	}
+	var buffer bytes.Buffer
+	if err = gob.NewEncoder(&buffer).Encode(still); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// Thaw reads a snapshot; the claims' ages count from now.
+func Thaw(data []byte, now time.Duration) (state *State, err error) {
+	state = NewState()
+	if len(data) == 0 {
+		return state, nil
+	}
+	var still frozen
+	if err = gob.NewDecoder(bytes.NewReader(data)).Decode(&still); err != nil {
+		return nil, err
+	}
+	if err = state.Canon.Restore(still.Canon); err != nil {
+		return nil, err
+	}
+	if still.Evacuations != nil {
+		state.Evacuations = still.Evacuations
+	}
+	state.seq, state.Rev = still.Seq, still.Rev
+	for i, claim := range still.Claims {
+		held := &heldClaim{Claim: claim, Seq: still.Seqs[i], at: now}
+		state.claims[claim.Key] = held
+		state.order = append(state.order, held)
+	}
+	return state, nil
+}
--- /dev/null
+++ b/internal/accord/store.go
@@ -0,0 +1,174 @@
+// Store keeps a core's part of the log on disk with pebble: the hard state,
+// the log's entries, the newest snapshot and the core's own id. Orders that
+// wait together share one sync. Entries left behind by a log that was cut are
+// known by a term lower than the one before them and dropped when read; any
+// other break in the log is an error with a number, never a guess.
+package accord
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+
+	"github.com/cockroachdb/pebble"
+	"github.com/cockroachdb/pebble/vfs"
+)
+
+// Store is the disk of one core.
+type Store struct{ db *pebble.DB }
+
+var (
+	keyID       = []byte("i")
+	keyHard     = []byte("h")
+	keySnapshot = []byte("s")
+)
+
+func keyEntry(index Index) (key []byte) {
+	return binary.BigEndian.AppendUint64([]byte("l"), uint64(index))
+}
+
+type silent struct{}
+
+func (silent) Infof(string, ...interface{})              {}
+func (silent) Errorf(string, ...interface{})             {}
+func (silent) Fatalf(format string, args ...interface{}) { panic("pebble: " + format) }
+
+// OpenStore opens or makes the store in a folder.
+func OpenStore(folder string, fs vfs.FS) (store *Store, err error) {
+	cache := pebble.NewCache(2 << 20)
+	defer cache.Unref()
+	options := &pebble.Options{
+		FS: fs, Cache: cache, MemTableSize: 4 << 20, MemTableStopWritesThreshold: 4,
+		MaxOpenFiles: 64, Logger: silent{}, DisableAutomaticCompactions: false,
+		L0CompactionThreshold: 4, L0StopWritesThreshold: 64,
+	}
+	options.MaxConcurrentCompactions = func() int { return 1 }
+	db, err := pebble.Open(folder, options)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	return &Store{db: db}, nil
+}
+
+// Close closes the store.
+func (s *Store) Close() (err error) { return s.db.Close() }
+
+func (s *Store) get(key []byte, into any) (found bool, err error) {
+	value, closer, err := s.db.Get(key)
+	if errors.Is(err, pebble.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, Class.Wrap(err)
+	}
+	defer func() { _ = closer.Close() }()
+	if err = gob.NewDecoder(bytes.NewReader(value)).Decode(into); err != nil {
+		return false, Class.New("record %q cannot be read: %v", key, err)
+	}
+	return true, nil
+}
+
+func encode(value any) (data []byte) {
+	var buffer bytes.Buffer
+	if err := gob.NewEncoder(&buffer).Encode(value); err != nil {
+		panic(err)
+	}
+	return buffer.Bytes()
+}
+
+func writeEntry(entry Entry) (data []byte) {
+	data = binary.AppendUvarint(nil, uint64(entry.Term))
+	var members []byte
+	if entry.Members != nil {
+		members = encode(entry.Members)
+	}
+	data = putText(data, members)
+	return append(data, entry.Data...)
+}
+
+func readEntry(index Index, data []byte) (entry Entry, err error) {
+	r := &reader{data: data}
+	entry.Index, entry.Term = index, Term(r.number())
+	members := r.text()
+	if r.bad {
+		return entry, Class.New("log entry %d cannot be read", index)
+	}
+	if len(members) > 0 {
+		if err = gob.NewDecoder(bytes.NewReader(members)).Decode(&entry.Members); err != nil {
+			return entry, Class.New("log entry %d cannot be read: %v", index, err)
+		}
+	}
+	entry.Data = append([]byte(nil), r.data...)
+	return entry, nil
+}
+
+// Load reads what the disk holds.
+func (s *Store) Load() (id ID, hard Hard, base Snapshot, log []Entry, err error) {
+	if _, err = s.get(keyID, &id); err != nil {
+		return
+	}
+	if _, err = s.get(keyHard, &hard); err != nil {
+		return
+	}
+	if _, err = s.get(keySnapshot, &base); err != nil {
+		return
+	}
+	iter, err := s.db.NewIter(&pebble.IterOptions{LowerBound: keyEntry(base.Index + 1), UpperBound: []byte("m")})
+	if err != nil {
+		err = Class.Wrap(err)
+		return
+	}
+	defer func() { err = errors.Join(err, iter.Close()) }()
+	next, term := base.Index+1, base.Term
+	for valid := iter.First(); valid; valid = iter.Next() {
+		index := Index(binary.BigEndian.Uint64(iter.Key()[1:]))
+		var entry Entry
+		if entry, err = readEntry(index, iter.Value()); err != nil {
+			return
+		}
+		if entry.Term < term {
+			break
+		}
+		if index != next {
+			err = Class.New("log entry %d is missing", next)
+			return
+		}
+		log = append(log, entry)
+		next, term = next+1, entry.Term
+	}
+	return
+}
+
+// Found writes the identity of a new disk, with the founders where it is one.
+func (s *Store) Found(id ID, base Snapshot) (err error) {
+	batch := s.db.NewBatch()
+	_ = batch.Set(keyID, encode(id), nil)
+	_ = batch.Set(keySnapshot, encode(base), nil)
+	return Class.Wrap(batch.Commit(pebble.Sync))
+}
+
+// Write carries out orders with one sync.
+func (s *Store) Write(writes []Write) (err error) {
+	batch := s.db.NewBatch()
+	for _, write := range writes {
+		if write.Hard != nil {
+			_ = batch.Set(keyHard, encode(*write.Hard), nil)
+		}
+		if write.Snapshot != nil {
+			_ = batch.Set(keySnapshot, encode(*write.Snapshot), nil)
+			upper := keyEntry(write.Snapshot.Index + 1)
+			if write.Last <= write.Snapshot.Index {
+				upper = []byte("m")
+			}
+			_ = batch.DeleteRange(keyEntry(0), upper, nil)
+		}
+		for _, entry := range write.Entries {
+			_ = batch.Set(keyEntry(entry.Index), writeEntry(entry), nil)
+		}
+	}
+	if batch.Empty() {
+		return nil
+	}
+	return Class.Wrap(batch.Commit(pebble.Sync))
+}
--- /dev/null
+++ b/internal/canon/items.go
@@ -0,0 +1,183 @@
+// The typed readings of the items: ways (routes), services, tenants and the
+// one item of limits. Each reading checks its own fields; what needs a look at
+// other items is checked where a call is carried out.
+package canon
+
+import (
+	"time"
+
+	"github.com/valyala/fastjson"
+)
+
+// Repeat says what may be done again with a request of a way.
+type Repeat string
+
+// The kinds of ways.
+const (
+	Idempotent    Repeat = "idempotent"
+	NonIdempotent Repeat = "non_idempotent"
+	Keyed         Repeat = "keyed"
+)
+
+// Target is a service with its weight in a way's split.
+type Target struct {
+	Service string
+	Weight  float64
+}
+
+// Way is where requests of a host and prefix go.
+type Way struct {
+	Name, Host, Prefix string
+	Repeat             Repeat
+	Timeout, Aim       time.Duration
+	Priority           int
+	Targets            []Target
+	Rounds             int
+	Homes              []string
+	Version            Version
+}
+
+// Service is a set of backends and how to treat them.
+type Service struct {
+	Name       string
+	HealthPath string
+	Streams    int
+	Dedupes    bool
+	Cold       time.Duration
+	ColdRate   float64
+}
+
+// Tenant bounds the requests to its hosts.
+type Tenant struct {
+	Name        string
+	Hosts       []string
+	Rate, Burst float64
+}
+
+// LimitItem bounds what a client may send and how long it may take.
+type LimitItem struct {
+	HeadBytes, BodyBytes int
+	HeadTime, IdleTime   time.Duration
+}
+
+// UsualLimits hold until the operator has set any.
+var UsualLimits = LimitItem{HeadBytes: 16 << 10, BodyBytes: 64 << 20, HeadTime: 5 * time.Second, IdleTime: 30 * time.Second}
+
+func readWay(called string, f *fields) (way *Way) {
+	way = &Way{Name: called}
+	way.Host = f.text("hostname", true)
+	way.Prefix = f.text("path_prefix", true)
+	if way.Prefix != "" && (way.Prefix[0] != '/' || way.Prefix[len(way.Prefix)-1] != '/') {
+		f.fail("path_prefix", "must begin and end with a slash")
+	}
+	way.Repeat = Repeat(f.text("route_type", true))
+	if way.Repeat != Idempotent && way.Repeat != NonIdempotent && way.Repeat != Keyed {
+		f.fail("route_type", "matches none of the kinds")
+	}
+	way.Timeout = f.span("timeout", true)
+	way.Aim = f.span("target_latency", false)
+	if way.Aim-way.Timeout >= time.Minute {
+		f.fail("target_latency", "sits a minute or more above the timeout")
+	}
+	way.Priority = int(f.number("priority", 0, 0))
+	way.Rounds = int(f.number("max_attempts", 1, 0))
+	if way.Rounds < 1 {
+		way.Rounds = 1
+	}
+	way.Homes = f.texts("allowed_regions")
+	service := f.text("service_name", false)
+	split := f.get("traffic_split")
+	switch {
+	case split != nil && split.Type() == fastjson.TypeArray && len(split.GetArray()) > 0:
+		sum := 0.0
+		for _, part := range split.GetArray() {
+			if part.Type() != fastjson.TypeObject || part.Get("service_name") == nil || part.Get("service_name").Type() != fastjson.TypeString {
+				f.fail("traffic_split", "has a part without a service")
+				continue
+			}
+			weight, err := 0.0, error(nil)
+			if part.Get("weight") != nil {
+				weight, err = part.Get("weight").Float64()
+			}
+			if err != nil || weight < 0 {
+				f.fail("traffic_split", "has a weight that is no number of 0 or more")
+				continue
+			}
+			sum += weight
+			way.Targets = append(way.Targets, Target{string(part.GetStringBytes("service_name")), weight})
+		}
+		if sum <= 0 {
+			f.fail("traffic_split", "has weights that sum to 0")
+		}
+	case split != nil && split.Type() != fastjson.TypeArray:
+		f.fail("traffic_split", "must be a list")
+	case service == "":
+		f.fail("service_name", "is missing")
+	default:
+		way.Targets = []Target{{service, 1}}
+	}
+	return way
+}
+
+func readService(called string, f *fields) (service *Service) {
+	service = &Service{Name: called}
+	service.HealthPath = f.text("health_check_path", false)
+	if service.HealthPath != "" && service.HealthPath[0] != '/' {
+		f.fail("health_check_path", "must begin with a slash")
+	}
+	if service.HealthPath == "" {
+		service.HealthPath = "/health"
+	}
+	service.Streams = int(f.number("max_connections", 0, 0))
+	if protocol := f.text("protocol", false); protocol != "" && protocol != "h1" {
+		f.fail("protocol", "is not spoken here")
+	}
+	if f.flag("tls_enabled") {
+		f.fail("tls_enabled", "is not offered")
+	}
+	service.Dedupes = f.flag("self_dedupes")
+	service.Cold = f.span("cold_start", false)
+	service.ColdRate = f.number("cold_per_s", 0, 0)
+	return service
+}
+
+func readTenant(called string, f *fields) (tenant *Tenant) {
+	tenant = &Tenant{Name: called}
+	tenant.Hosts = f.texts("hostnames")
+	if len(tenant.Hosts) == 0 {
+		f.fail("hostnames", "must name one host or more")
+	}
+	for i, host := range tenant.Hosts {
+		if host == "" {
+			f.fail("hostnames", "holds an empty host")
+		}
+		for _, other := range tenant.Hosts[:i] {
+			if other == host {
+				f.fail("hostnames", "names a host twice")
+			}
+		}
+	}
+	if f.get("rate") == nil {
+		f.fail("rate", "is missing")
+	}
+	tenant.Rate = f.number("rate", 0, 0)
+	if f.get("rate") != nil && tenant.Rate <= 0 {
+		f.fail("rate", "must be above 0")
+	}
+	tenant.Burst = f.number("burst", tenant.Rate, 0)
+	return tenant
+}
+
+func readLimits(f *fields) (limits *LimitItem) {
+	usual := UsualLimits
+	limits = &usual
+	limits.HeadBytes = int(f.number("max_header_bytes", float64(usual.HeadBytes), 1))
+	limits.BodyBytes = int(f.number("max_body_bytes", float64(usual.BodyBytes), 0))
+	if f.get("header_timeout") != nil {
+		limits.HeadTime = f.span("header_timeout", true)
+	}
+	if f.get("idle_timeout") != nil {
+		limits.IdleTime = f.span("idle_timeout", true)
+	}
+	return limits
+}
--- /dev/null
+++ b/internal/canon/view.go
@@ -0,0 +1,84 @@
+// View is the configuration made ready for the request path: ways by host and
+// prefix, services by name, tenants by host. It is built once a change and
+// never written to afterwards, so requests read it without a lock. Finding a
+// way costs one look-up per segment of the path, however many ways there are.
+package canon
+
+import "strings"
+
+// View is one state of the configuration, read-only.
+type View struct {
+	hosts    map[string]map[string]*Way
+	Services map[string]*Service
+	tenants  map[string]*Tenant
+	Limits   LimitItem
+	Ways     int
+}
+
+// View builds the reading of what stands.
+func (c *Canon) View() (view *View) {
+	view = &View{hosts: map[string]map[string]*Way{}, Services: map[string]*Service{}, tenants: map[string]*Tenant{}, Limits: UsualLimits}
+	for _, item := range c.items {
+		switch {
+		case item.Dropped:
+		case item.way != nil:
+			host := strings.ToLower(item.way.Host)
+			if view.hosts[host] == nil {
+				view.hosts[host] = map[string]*Way{}
+			}
+			item.way.Version = item.Version
+			view.hosts[host][item.way.Prefix] = item.way
+			view.Ways++
+		case item.service != nil:
+			view.Services[item.Name] = item.service
+		case item.tenant != nil:
+			for _, host := range item.tenant.Hosts {
+				view.tenants[strings.ToLower(host)] = item.tenant
+			}
+		case item.limits != nil:
+			view.Limits = *item.limits
+		}
+	}
+	return view
+}
+
+func plainHost(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	return strings.ToLower(host)
+}
+
+// Find gives the way with the longest prefix of the path.
+func (v *View) Find(host, path string) (way *Way) {
+	ways := v.hosts[plainHost(host)]
+	if ways == nil {
+		return nil
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if way = ways[path[:end+1]]; way != nil {
+			return way
+		}
+	}
+	return nil
+}
+
+// Tenant gives the tenant of a host, nil where none is set.
+func (v *View) Tenant(host string) (tenant *Tenant) {
+	if len(v.tenants) == 0 {
+		return nil
+	}
+	return v.tenants[plainHost(host)]
+}
+
+// Tenants lists each tenant once.
+func (v *View) Tenants() (tenants []*Tenant) {
+	seen := map[*Tenant]bool{}
+	for _, tenant := range v.tenants {
+		if !seen[tenant] {
+			seen[tenant] = true
+			tenants = append(tenants, tenant)
+		}
+	}
+	return tenants
+}
--- /dev/null
+++ b/internal/census/list.go
@@ -0,0 +1,175 @@
+// The platform's list of backends, read page by page. A walk that breaks off
+// changes nothing. An entry that a whole walk did not show is gone only after
+// a second whole walk did not show it either, unless it was draining.
+package census
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/valyala/fastjson"
+	"github.com/zeebo/errs"
+
+	"tinpin/internal/parley"
+)
+
+// Class marks failures of the census.
+var Class = errs.Class("census")
+
+// ReadPage reads one page of the list.
+func ReadPage(body []byte) (servers []parley.Server, next string, err error) {
+	v, err := fastjson.ParseBytes(body)
+	if err != nil {
+		return nil, "", Class.New("the list is not JSON")
+	}
+	table := v.Get("instances")
+	if table == nil || table.Get("column_names") == nil || table.Get("row_values") == nil {
+		return nil, "", Class.New("the list lacks its instances")
+	}
+	var columns []string
+	for _, column := range table.GetArray("column_names") {
+		columns = append(columns, string(column.GetStringBytes()))
+	}
+	for _, row := range table.GetArray("row_values") {
+		cells := row.GetArray()
+		if len(cells) != len(columns) {
+			return nil, "", Class.New("a row of the list does not fit its columns")
+		}
+		var server parley.Server
+		for i, cell := range cells {
+			switch columns[i] {
+			case "instance_id":
+				server.ID = parley.ServerID(cell.GetStringBytes())
+			case "service_name":
+				server.Service = parley.ServiceName(cell.GetStringBytes())
+			case "address":
+				server.Address = string(cell.GetStringBytes())
+			case "zone":
+				server.Site = parley.SiteName(cell.GetStringBytes())
+			case "capacity_slots":
+				server.Slots = cell.GetInt()
+			case "state":
+				server.Draining = string(cell.GetStringBytes()) == "draining"
+			case "cold_remaining":
+				if cell.Type() == fastjson.TypeString {
+					if server.Cold, err = time.ParseDuration(string(cell.GetStringBytes())); err != nil {
+						return nil, "", Class.New("cold_remaining is no time")
+					}
+				}
+			}
+		}
+		if server.ID == "" || server.Address == "" || server.Service == "" {
+			return nil, "", Class.New("a row of the list lacks its id, address or service")
+		}
+		servers = append(servers, server)
+	}
+	return servers, string(v.GetStringBytes("next_page_token")), nil
+}
+
+// Platform asks the platform for its list.
+type Platform struct {
+	Address string
+	client  *http.Client
+}
+
+// NewPlatform makes a caller of the platform.
+func NewPlatform(address string) (platform *Platform) {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond, Control: parley.Firm(1500 * time.Millisecond), KeepAlive: -1}).DialContext,
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	}
+	return &Platform{Address: address, client: &http.Client{Transport: transport, Timeout: 2 * time.Second}}
+}
+
+// Walk reads all pages.
+func (p *Platform) Walk(pause time.Duration) (servers []parley.Server, pages int, err error) {
+	token := ""
+	for {
+		target := "http://" + p.Address + "/instances"
+		if token != "" {
+			target += "?page_token=" + url.QueryEscape(token)
+		}
+		response, getErr := p.client.Get(target)
+		if getErr != nil {
+			return nil, pages, Class.Wrap(getErr)
+		}
+		body, readErr := io.ReadAll(io.LimitReader(response.Body, 16<<20))
+		_ = response.Body.Close()
+		pages++
+		if readErr != nil {
+			return nil, pages, Class.Wrap(readErr)
+		}
+		if response.StatusCode != http.StatusOK {
+			return nil, pages, Class.New("the platform answered %d", response.StatusCode)
+		}
+		page, next, pageErr := ReadPage(body)
+		if pageErr != nil {
+			return nil, pages, pageErr
+		}
+		servers = append(servers, page...)
+		if next == "" {
+			return servers, pages, nil
+		}
+		if pages > 1000 || strings.TrimSpace(next) == token {
+			return nil, pages, Class.New("the platform's pages do not end")
+		}
+		token = next
+		time.Sleep(pause)
+	}
+}
+
+// List merges walks into a ledger.
+type List struct {
+	Servers *Ledger[parley.ServerID, parley.Server]
+	missed  map[parley.ServerID]int
+	Walked  bool
+}
+
+// NewList is an empty list.
+func NewList(clock *Clock) (list *List) {
+	return &List{Servers: NewLedger[parley.ServerID, parley.Server](clock), missed: map[parley.ServerID]int{}}
+}
+
+// Merge takes one whole walk. The cold spell is kept as first told, since a
+// remainder that shrinks is no change.
+func (l *List) Merge(walk []parley.Server) (changed bool, fresh []parley.Server) {
+	changed = !l.Walked
+	l.Walked = true
+	shown := make(map[parley.ServerID]bool, len(walk))
+	for _, server := range walk {
+		shown[server.ID] = true
+		delete(l.missed, server.ID)
+		old, known := l.Servers.Get(server.ID)
+		if known {
+			server.Cold = old.Cold
+			if old.Draining {
+				server.Draining = true
+			}
+		} else {
+			fresh = append(fresh, server)
+		}
+		if l.Servers.Set(server.ID, server) {
+			changed = true
+		}
+	}
+	var gone []parley.ServerID
+	l.Servers.Each(func(id parley.ServerID, server parley.Server) {
+		if shown[id] {
+			return
+		}
+		l.missed[id]++
+		if l.missed[id] >= 2 || server.Draining {
+			gone = append(gone, id)
+		}
+	})
+	for _, id := range gone {
+		delete(l.missed, id)
+		l.Servers.Drop(id)
+		changed = true
+	}
+	return changed, fresh
+}
--- /dev/null
+++ b/internal/council/council.go
@@ -0,0 +1,132 @@
+// Package council is the accord role: one core with its disk, the desk for
+// fellows, the forum while it leads, and the operator's interface.
+package council
+
+import (
+	"context"
+	"time"
+
+	"tinpin/internal/accord"
+	"tinpin/internal/events"
+	"tinpin/internal/forum"
+	"tinpin/internal/office"
+	"tinpin/internal/parley"
+	"tinpin/internal/problem"
+	"tinpin/internal/props"
+)
+
+// Patience is how long an operator's call may take before it is unclear; the
+// callers give up after a second.
+const patience = 900 * time.Millisecond
+
+// Council is a running accord daemon.
+type Council struct {
+	props props.Props
+	log   *events.Log
+	node  *accord.Node
+	desk  *forum.Desk
+}
+
+// Start opens the disk and the listeners and takes up the work.
+func Start(p props.Props, log *events.Log) (council *Council, err error) {
+	node, err := accord.OpenNode(p, log)
+	if err != nil {
+		return nil, err
+	}
+	council = &Council{props: p, log: log, node: node, desk: forum.NewDesk(node)}
+	node.OnRole = func(leads bool, term accord.Term) {
+		var opened *forum.Forum
+		if leads {
+			opened = forum.Open(p, log, node, term)
+		}
+		if old := council.desk.Use(opened); old != nil {
+			old.Close()
+		}
+	}
+	node.OnChange = func() {
+		if open := council.desk.Forum(); open != nil {
+			open.Stir()
+		}
+	}
+	inner, err := parley.Listen(p.Inner("accord"), time.Second)
+	if err != nil {
+		return nil, err
+	}
+	if err = parley.Serve(inner, map[string]any{"Accord": node.Desk(), "Forum": council.desk, "Status": &Status{council}}); err != nil {
+		return nil, err
+	}
+	if _, err = office.Serve(p.Control, office.Duties{Update: council.update, Describe: council.describe, Evacuate: council.evacuate}); err != nil {
+		return nil, err
+	}
+	node.Run()
+	return council, nil
+}
+
+// Renew takes changed settings up.
+func (c *Council) Renew(p props.Props) { c.node.SetSeeds(p.Seeds) }
+
+// Stop hands leadership over and ends.
+func (c *Council) Stop() { c.node.Close() }
+
+// elsewhere sends the caller to the leader, or tells that there is none.
+func (c *Council) elsewhere(path string) (err error) {
+	leads, settled, _, leader, _ := c.node.Standing()
+	if leads && settled {
+		return nil
+	}
+	if leads || leader.Control == "" {
+		return &office.Trouble{Kind: problem.Unclear, Text: "no leader is settled now"}
+	}
+	return &office.Trouble{Kind: problem.NotLeader, Location: "http://" + leader.Control + path}
+}
+
+func (c *Council) wish(command accord.Command) (result accord.Result, err error) {
+	answer := c.node.Wish(command, patience)
+	if !answer.Clear {
+		return result, &office.Trouble{Kind: problem.Unclear}
+	}
+	return answer.Result, nil
+}
+
+func (c *Council) update(_ context.Context, body []byte) (err error) {
+	if err = c.elsewhere("/-/Config.Update"); err != nil {
+		return err
+	}
+	result, err := c.wish(accord.Command{Kind: accord.CommandConfig, Body: body})
+	if err != nil {
+		return err
+	}
+	if result.Problem != "" {
+		return &office.Trouble{Kind: problem.BadConfig, Text: result.Problem}
+	}
+	c.log.Say(events.ConfigTaken, "bytes", len(body))
+	return nil
+}
+
+func (c *Council) describe(context.Context) (text []byte, err error) {
+	if err = c.elsewhere("/-/Config.Describe"); err != nil {
+		return nil, err
+	}
+	// A barrier that a majority has synced proves that this core still leads
+	// and has applied all that was acknowledged before the call.
+	if _, err = c.wish(accord.Command{Kind: accord.CommandBarrier}); err != nil {
+		return nil, err
+	}
+	c.node.Read(func(state *accord.State) { text = state.Canon.Describe() })
+	return text, nil
+}
+
+func (c *Council) evacuate(_ context.Context, site string, start bool) (err error) {
+	kind, verb := accord.CommandReturn, "Stop"
+	if start {
+		kind, verb = accord.CommandEvacuate, "Start"
+	}
+	if err = c.elsewhere("/-/Evacuations." + verb + "/" + site); err != nil {
+		return err
+	}
+	if _, err = c.wish(accord.Command{Kind: kind, Site: site}); err != nil {
+		return err
+	}
+	c.log.Say(events.EvacuationTaken, "site", site, "start", start)
+	return nil
+}
--- /dev/null
+++ b/internal/forum/forum.go
@@ -0,0 +1,413 @@
+// Package forum is the leader's desk: fellows bring their beats here and take
+// the news home. It composes the roll, the platform's list, the shard map, the
+// state cache and the book of leases, which are all state machines; the forum
+// gives them time and holds beats open until there is something to tell. It
+// lives as long as one leadership; a new leader opens a new one.
+package forum
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"tinpin/internal/accord"
+	"tinpin/internal/allot"
+	"tinpin/internal/canon"
+	"tinpin/internal/census"
+	"tinpin/internal/events"
+	"tinpin/internal/parley"
+	"tinpin/internal/props"
+	"tinpin/internal/vigil"
+)
+
+const (
+	leaseSpan   = 1600 * time.Millisecond
+	absentAfter = 1300 * time.Millisecond
+	struckAfter = 6 * time.Second
+	gather      = 15 * time.Millisecond
+	longestHold = 2 * time.Second
+)
+
+// Forum is open while this core leads.
+type Forum struct {
+	props props.Props
+	log   *events.Log
+	node  *accord.Node
+	term  parley.Term
+	birth time.Time
+
+	mu      sync.Mutex
+	clock   *census.Clock
+	roll    *census.Roll
+	list    *census.List
+	cache   *vigil.Cache
+	book    *allot.Book
+	shards  parley.ShardMap
+	mapAt   parley.Epoch
+	absent  []parley.FellowID
+	absAt   parley.Epoch
+	view    *canon.View
+	rev     uint64
+	sites   map[parley.SiteName]bool
+	changed chan struct{}
+	stop    chan struct{}
+}
+
+// Open starts a leadership's forum.
+func Open(p props.Props, log *events.Log, node *accord.Node, term accord.Term) (forum *Forum) {
+	clock := &census.Clock{}
+	clock.Next()
+	forum = &Forum{
+		props: p, log: log, node: node, term: parley.Term(term), birth: time.Now(),
+		clock: clock, roll: census.NewRoll(clock, census.RollBounds{Absent: absentAfter, Struck: struckAfter}),
+		list: census.NewList(clock), cache: vigil.NewCache(clock, 3*p.ProbeInterval+time.Second),
+		book: allot.NewBook(0, leaseSpan), view: canon.New().View(), sites: map[parley.SiteName]bool{},
+		changed: make(chan struct{}), stop: make(chan struct{}),
+	}
+	go forum.tend()
+	if p.PlatformAddress != "" {
+		go forum.walk()
+	}
+	return forum
+}
+
+// Close ends it.
+func (f *Forum) Close() { close(f.stop) }
+
+func (f *Forum) now() time.Duration { return time.Since(f.birth) }
+
+// stir wakes the beats that are held open.
+func (f *Forum) stir() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Stir is called when the agreed state changed.
+func (f *Forum) Stir() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var view *canon.View
+	active := map[parley.SiteName]bool{}
+	f.node.Read(func(state *accord.State) {
+		if state.Rev != f.rev {
+			f.rev = state.Rev
+			view = state.Canon.View()
+		}
+		for site, evacuation := range state.Evacuations {
+			if evacuation.Active {
+				active[parley.SiteName(site)] = true
+			}
+		}
+	})
+	if view != nil {
+		f.view = view
+	}
+	// The backends of a site that is taken back may have turned cold unseen.
+	for site := range f.sites {
+		if !active[site] {
+			f.list.Servers.Each(func(id parley.ServerID, server parley.Server) {
+				if server.Site == site {
+					if service := f.view.Services[string(server.Service)]; service != nil {
+						f.cache.Suspect(f.now(), id, server.Service, service.Cold)
+					}
+				}
+			})
+		}
+	}
+	f.sites = active
+	f.stir()
+}
+
+// tend is the duty that moves the state machines' time on.
+func (f *Forum) tend() {
+	f.Stir()
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-ticker.C:
+		}
+		f.mu.Lock()
+		now := f.now()
+		lost, changed := f.roll.Tick(now)
+		for _, id := range lost {
+			f.log.Say(events.FellowLost, "fellow", string(id))
+		}
+		if changed {
+			f.refreshMembers()
+		}
+		if f.cache.Tick(now) {
+			changed = true
+		}
+		if changed {
+			f.stir()
+		}
+		f.mu.Unlock()
+	}
+}
+
+// refreshMembers derives the shard map and the absent from the roll.
+func (f *Forum) refreshMembers() {
+	members := f.roll.Members()
+	same := len(members) == len(f.shards.Members)
+	for i := 0; same && i < len(members); i++ {
+		same = members[i] == f.shards.Members[i]
+	}
+	if !same {
+		f.mapAt = f.clock.Next()
+		f.shards = parley.ShardMap{Term: f.term, Count: f.mapAt, Members: members}
+		f.cache.Shards(f.shards)
+		f.log.Say(events.MapChanged, "count", uint64(f.mapAt), "members", len(members))
+	}
+	absent := f.roll.Absent()
+	same = len(absent) == len(f.absent)
+	for i := 0; same && i < len(absent); i++ {
+		same = absent[i] == f.absent[i]
+	}
+	if !same {
+		f.absent, f.absAt = absent, f.clock.Next()
+	}
+}
+
+// walk is the duty that reads the platform's list.
+func (f *Forum) walk() {
+	platform := census.NewPlatform(f.props.PlatformAddress)
+	pause := time.Duration(float64(time.Second) / max(f.props.PlatformRate/4, 0.1))
+	for {
+		begun := time.Now()
+		servers, pages, err := platform.Walk(min(pause, 100*time.Millisecond))
+		interval := max(f.props.ListInterval, time.Duration(pages)*pause)
+		if err != nil {
+			f.log.Say(events.ListFailed, "problem", err.Error())
+			interval = max(interval/2, time.Duration(pages)*pause)
+		} else {
+			f.merge(servers)
+		}
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(max(interval-time.Since(begun), 20*time.Millisecond)):
+		}
+	}
+}
+
+func (f *Forum) merge(servers []parley.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed, fresh := f.list.Merge(servers)
+	now := f.now()
+	for _, server := range fresh {
+		if server.Cold > 0 {
+			f.cache.Suspect(now, server.ID, server.Service, server.Cold)
+		}
+	}
+	if !changed {
+		return
+	}
+	var gone []parley.ServerID
+	f.cache.States.Each(func(id parley.ServerID, _ parley.State) {
+		if _, listed := f.list.Servers.Get(id); !listed {
+			gone = append(gone, id)
+		}
+	})
+	for _, id := range gone {
+		f.cache.Drop(id)
+		f.book.Forget(allot.Key{Kind: parley.ColdRate, Name: string(id)})
+	}
+	f.stir()
+}
+
+// Beat notes a fellow's beat and answers it once there is news, or when it
+// has been held long enough.
+func (f *Forum) Beat(ask parley.BeatAsk, news *parley.News) {
+	hold := time.NewTimer(min(ask.Hold, longestHold))
+	defer hold.Stop()
+	f.mu.Lock()
+	joined, changed := f.roll.Beat(f.now(), ask.Fellow)
+	if joined {
+		f.log.Say(events.FellowJoined, "fellow", string(ask.ID), "life", uint64(ask.Life))
+	}
+	if changed || joined {
+		f.refreshMembers()
+		f.stir()
+	}
+	for !f.due(ask) {
+		changed := f.changed
+		f.mu.Unlock()
+		select {
+		case <-changed:
+		case <-hold.C:
+			f.mu.Lock()
+			f.tell(ask, news)
+			f.mu.Unlock()
+			return
+		case <-f.stop:
+			return
+		}
+		f.mu.Lock()
+	}
+	f.mu.Unlock()
+	// What comes together goes out together.
+	time.Sleep(gather)
+	f.mu.Lock()
+	f.tell(ask, news)
+	f.mu.Unlock()
+}
+
+// due tells whether there is something to tell.
+func (f *Forum) due(ask parley.BeatAsk) bool {
+	if ask.Term != f.term {
+		return true
+	}
+	return ask.Epoch < f.clock.Now() || ask.Rev < f.rev || ask.Hold <= 0
+}
+
+func (f *Forum) tell(ask parley.BeatAsk, news *parley.News) {
+	now := f.now()
+	since := ask.Epoch
+	news.Leader, news.Term, news.Epoch, news.Rev = true, f.term, f.clock.Now(), f.rev
+	if ask.Term != f.term {
+		since, news.Full = 0, true
+		_, _, _, _, members := f.node.Standing()
+		for _, member := range members {
+			news.Cores = append(news.Cores, parley.Core{Inner: member.Inner, Control: member.Control})
+		}
+	}
+	if ask.Rev < f.rev {
+		f.node.Read(func(state *accord.State) {
+			news.Rev = state.Rev
+			news.Items = state.Canon.Since(ask.Rev)
+			for _, evacuation := range state.Evacuations {
+				if evacuation.Rev > ask.Rev {
+					news.Evacuations = append(news.Evacuations, parley.Evacuation{Site: parley.SiteName(evacuation.Site), Active: evacuation.Active, Rev: evacuation.Rev})
+				}
+			}
+		})
+	}
+	news.Listed = f.list.Walked
+	if news.Listed {
+		f.list.Servers.Since(since, func(_ parley.ServerID, server parley.Server, gone bool) {
+			news.Servers = append(news.Servers, parley.ServerChange{Server: server, Gone: gone})
+		})
+		f.cache.States.Since(since, func(_ parley.ServerID, state parley.State, gone bool) {
+			state = f.cache.Remaining(now, state)
+			state.Gone = gone
+			news.States = append(news.States, state)
+		})
+	}
+	f.roll.Fellows.Since(since, func(_ parley.FellowID, fellow parley.Fellow, gone bool) {
+		news.Fellows = append(news.Fellows, parley.FellowChange{Fellow: fellow, Gone: gone})
+	})
+	if f.mapAt > since || news.Full {
+		shards := f.shards
+		news.Map = &shards
+	}
+	news.Absent = f.absent
+	news.Leases = f.lend(now, ask)
+}
+
+// lend gives a fellow its shares of every bound.
+func (f *Forum) lend(now time.Duration, ask parley.BeatAsk) (leases []parley.Lease) {
+	if ask.Stopping {
+		return nil
+	}
+	present := 0
+	f.roll.Fellows.Each(func(id parley.FellowID, fellow parley.Fellow) {
+		if f.roll.Here(id) && !fellow.Stopping {
+			present++
+		}
+	})
+	if present == 0 {
+		return nil
+	}
+	give := func(key allot.Key, bound float64, window time.Duration, want float64) {
+		if lease, given := f.book.Lend(now, key, bound, window, ask.ID, want); given {
+			leases = append(leases, lease)
+		}
+	}
+	slack := f.props.Bounds.RetrySlack * 0.7
+	give(allot.Key{Kind: parley.RetrySlack}, slack, f.props.Bounds.RetryWindow, slack/float64(present))
+	f.list.Servers.Each(func(id parley.ServerID, server parley.Server) {
+		if server.Draining || f.cache.ColdUntil(id)+time.Second < now {
+			return
+		}
+		service := f.view.Services[string(server.Service)]
+		if service == nil || service.ColdRate <= 0 {
+			return
+		}
+		rank, among := f.near(ask.Fellow, server)
+		bound := service.ColdRate
+		users := min(among, max(1, int(bound/3)))
+		if rank < users {
+			give(allot.Key{Kind: parley.ColdRate, Name: string(id)}, bound, 1200*time.Millisecond, bound/float64(users))
+		}
+	})
+	return leases
+}
+
+// near ranks a fellow among those heard by how near it is to a backend.
+func (f *Forum) near(to parley.Fellow, server parley.Server) (rank, among int) {
+	region := f.props.Regions[string(server.Site)]
+	type placed struct {
+		id   parley.FellowID
+		far  int
+		luck parley.ServiceName
+	}
+	var order []placed
+	f.roll.Fellows.Each(func(id parley.FellowID, fellow parley.Fellow) {
+		if !f.roll.Here(id) || fellow.Stopping {
+			return
+		}
+		far := 2
+		if fellow.Site == server.Site {
+			far = 0
+		} else if string(fellow.Region) == region {
+			far = 1
+		}
+		order = append(order, placed{id: id, far: far})
+	})
+	sort.Slice(order, func(i, j int) bool {
+		if order[i].far != order[j].far {
+			return order[i].far < order[j].far
+		}
+		return order[i].id < order[j].id
+	})
+	for i := range order {
+		if order[i].id == to.ID {
+			return i, len(order)
+		}
+	}
+	return len(order), len(order)
+}
+
+// Report takes an owner's findings.
+func (f *Forum) Report(ask parley.ReportAsk) (taken bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	absent := map[parley.FellowID]bool{}
+	for _, id := range f.absent {
+		absent[id] = true
+	}
+	listed := ask.States[:0:0]
+	for _, state := range ask.States {
+		if _, known := f.list.Servers.Get(state.Server); known {
+			listed = append(listed, state)
+		}
+	}
+	ask.States = listed
+	taken, changed := f.cache.Report(f.now(), ask, absent)
+	if changed {
+		f.stir()
+	}
+	return taken
+}
+
+// Inner gives a fellow's inner address and the life it was last heard with.
+func (f *Forum) Inner(id parley.FellowID) (inner string, life parley.Life) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fellow, _ := f.roll.Fellows.Get(id)
+	return fellow.Inner, fellow.Life
+}
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,170 @@
+// Package keys is a daemon's own record of the operations it holds. The cores
+// know only who holds a key; how the operation stands, and its answer, lie
+// with the holder, which others ask. An operation whose outcome is not known
+// is never run again; one that was freed has not run and never will under its
+// old request.
+package keys
+
+import (
+	"sync"
+	"time"
+
+	"tinpin/internal/parley"
+)
+
+// Operation is one keyed request held here.
+type Operation struct {
+	Key, Request string
+	standing     parley.Standing
+	status       int
+	lines        [][2]string
+	body         []byte
+	at           time.Duration
+	done         chan struct{}
+}
+
+// Book is the record; it forgets an operation after the window and bodies
+// beyond its room, oldest first.
+type Book struct {
+	window time.Duration
+	room   int
+	now    func() time.Duration
+
+	mu    sync.Mutex
+	held  map[string]*Operation
+	order []*Operation
+	size  int
+	freed map[[2]string]time.Duration
+}
+
+// NewBook keeps operations for window and bodies up to room bytes.
+func NewBook(window time.Duration, room int, now func() time.Duration) (book *Book) {
+	return &Book{window: window, room: room, now: now, held: map[string]*Operation{}, freed: map[[2]string]time.Duration{}}
+}
+
+// Open starts an operation, or gives the one that holds the key here.
+func (b *Book) Open(key, request string) (op, old *Held) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.forget()
+	if found := b.held[key]; found != nil && found.standing != parley.Freed {
+		return nil, &Held{b, found}
+	}
+	fresh := &Operation{Key: key, Request: request, standing: parley.Running, at: b.now(), done: make(chan struct{})}
+	b.held[key] = fresh
+	b.order = append(b.order, fresh)
+	return &Held{b, fresh}, nil
+}
+
+// Held is an operation in its book.
+type Held struct {
+	book *Book
+	op   *Operation
+}
+
+// Recall tells how the operation stands.
+func (h *Held) Recall() (reply parley.RecallReply) {
+	h.book.mu.Lock()
+	defer h.book.mu.Unlock()
+	return h.op.reply()
+}
+
+// Done is closed when the operation is no longer running.
+func (h *Held) Done() (done <-chan struct{}) { return h.op.done }
+
+func (o *Operation) reply() (reply parley.RecallReply) {
+	return parley.RecallReply{Standing: o.standing, Status: o.status, Header: o.lines, Body: o.body}
+}
+
+// forget drops what is past the window.
+func (b *Book) forget() {
+	now := b.now()
+	cut := 0
+	for cut < len(b.order) && (now-b.order[cut].at > b.window || b.size > b.room) {
+		op := b.order[cut]
+		if op.standing == parley.Running && now-op.at <= b.window {
+			break
+		}
+		b.size -= len(op.body)
+		op.body = nil
+		if now-op.at <= b.window && op.standing == parley.Answered {
+			// Its body is gone for want of room; the operation stays run.
+			op.standing = parley.Lost
+		} else if b.held[op.Key] == op {
+			delete(b.held, op.Key)
+		}
+		cut++
+	}
+	if cut > 0 {
+		b.order = b.order[cut:]
+	}
+}
+
+func (b *Book) settle(held *Held, standing parley.Standing) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if held.op.standing == parley.Running {
+		held.op.standing = standing
+		close(held.op.done)
+	}
+}
+
+// Answer stores the answer of an operation.
+func (b *Book) Answer(held *Held, status int, lines [][2]string, body []byte) {
+	b.mu.Lock()
+	held.op.status, held.op.lines, held.op.body = status, lines, body
+	b.size += len(body)
+	b.mu.Unlock()
+	b.settle(held, parley.Answered)
+}
+
+// Lose notes that nobody knows whether the operation ran.
+func (b *Book) Lose(held *Held) { b.settle(held, parley.Lost) }
+
+// Free notes that the operation has not run and will not.
+func (b *Book) Free(held *Held) {
+	b.settle(held, parley.Freed)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	if len(b.freed) > 4096 {
+		for which, at := range b.freed {
+			if now-at > b.window {
+				delete(b.freed, which)
+			}
+		}
+	}
+	b.freed[[2]string{held.op.Key, held.op.Request}] = now
+}
+
+// Freed tells whether a claim of this daemon's was given back unused.
+func (b *Book) Freed(key, request string) (freed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, freed = b.freed[[2]string{key, request}]
+	return freed
+}
+
+// Abandon strikes out an operation that never got its key.
+func (b *Book) Abandon(held *Held) {
+	b.settle(held, parley.Freed)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.held[held.op.Key] == held.op {
+		delete(b.held, held.op.Key)
+	}
+}
+
+// Find looks an operation up by key and request; what is not known here any
+// more counts as lost.
+func (b *Book) Find(key, request string) (reply parley.RecallReply) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, freed := b.freed[[2]string{key, request}]; freed {
+		return parley.RecallReply{Standing: parley.Freed}
+	}
+	if op := b.held[key]; op != nil && op.Request == request {
+		return op.reply()
+	}
+	return parley.RecallReply{Standing: parley.Lost}
+}
--- /dev/null
+++ b/internal/office/office.go
@@ -0,0 +1,164 @@
+// Package office answers tinpin's own interfaces over the generated server:
+// the operator's calls, the directory and the readiness check. A daemon gives
+// the office those duties it has; calls for the others are answered as not
+// known here. Every failure goes through the one table of problems.
+package office
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/jx"
+	"github.com/ogen-go/ogen/ogenerrors"
+
+	"tinpin/api/oas"
+	"tinpin/internal/parley"
+	"tinpin/internal/problem"
+)
+
+// Trouble is a problem with the words for the one who called.
+type Trouble struct {
+	Kind     problem.Kind
+	Text     string
+	Location string
+}
+
+func (t *Trouble) Error() string {
+	if t.Text != "" {
+		return t.Text
+	}
+	return t.Kind.Answer().Text
+}
+
+// Duties are what a daemon answers for; nil ones it does not.
+type Duties struct {
+	Update   func(ctx context.Context, body []byte) error
+	Describe func(ctx context.Context) ([]byte, error)
+	Evacuate func(ctx context.Context, site string, start bool) error
+	Resolve  func(ctx context.Context, host, region, site string) ([]string, time.Duration, error)
+	Ready    func() bool
+}
+
+type office struct{ duties Duties }
+
+var errElsewhere = &Trouble{Kind: problem.NoWay, Text: "this daemon does not answer that"}
+
+func (o office) ConfigUpdate(ctx context.Context, body jx.Raw) (done *oas.Done, err error) {
+	if o.duties.Update == nil {
+		return nil, errElsewhere
+	}
+	if err = o.duties.Update(ctx, body); err != nil {
+		return nil, err
+	}
+	return &oas.Done{Status: "acknowledged"}, nil
+}
+
+func (o office) ConfigDescribe(ctx context.Context) (text jx.Raw, err error) {
+	if o.duties.Describe == nil {
+		return nil, errElsewhere
+	}
+	return o.duties.Describe(ctx)
+}
+
+func (o office) evacuate(ctx context.Context, site string, start bool) (done *oas.Done, err error) {
+	if o.duties.Evacuate == nil {
+		return nil, errElsewhere
+	}
+	if err = o.duties.Evacuate(ctx, site, start); err != nil {
+		return nil, err
+	}
+	return &oas.Done{Status: "acknowledged"}, nil
+}
+
+func (o office) EvacuationStart(ctx context.Context, params oas.EvacuationStartParams) (done *oas.Done, err error) {
+	return o.evacuate(ctx, params.Zone, true)
+}
+
+func (o office) EvacuationStop(ctx context.Context, params oas.EvacuationStopParams) (done *oas.Done, err error) {
+	return o.evacuate(ctx, params.Zone, false)
+}
+
+func (o office) Resolve(ctx context.Context, params oas.ResolveParams) (directions *oas.Directions, err error) {
+	if o.duties.Resolve == nil {
+		return nil, errElsewhere
+	}
+	addresses, ttl, err := o.duties.Resolve(ctx, params.Name.Or(""), params.Region.Or(""), params.Zone.Or(""))
+	if err != nil {
+		return nil, err
+	}
+	return &oas.Directions{Addresses: addresses, TTL: ttl.String()}, nil
+}
+
+func (o office) Readiness(context.Context) (done *oas.Done, err error) {
+	if o.duties.Ready == nil {
+		return nil, errElsewhere
+	}
+	if !o.duties.Ready() {
+		return nil, &Trouble{Kind: problem.NotReady}
+	}
+	return &oas.Done{Status: "ready"}, nil
+}
+
+func (o office) NewError(_ context.Context, err error) (other *oas.OtherStatusCodeWithHeaders) {
+	trouble := &Trouble{Kind: problem.Unclear, Text: err.Error()}
+	if !errors.As(err, &trouble) {
+		var coded ogenerrors.Error
+		if errors.As(err, &coded) {
+			trouble.Kind = problem.BadRequest
+		}
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			trouble.Kind = problem.BodyTooLarge
+		}
+	}
+	answer := trouble.Kind.Answer()
+	other = &oas.OtherStatusCodeWithHeaders{StatusCode: answer.Status, Response: oas.Problem{ErrorMessage: trouble.Error()}}
+	if trouble.Location != "" {
+		other.Location = oas.NewOptString(trouble.Location)
+	}
+	if answer.RetryMS > 0 {
+		other.RetryAfter = oas.NewOptString(answer.Retry())
+	}
+	return other
+}
+
+// MaxCall bounds the body of a call.
+const MaxCall = 32 << 20
+
+// Handler makes the generated server for some duties.
+func Handler(duties Duties) (handler http.Handler, err error) {
+	mine := office{duties}
+	server, err := oas.NewServer(mine, oas.WithErrorHandler(func(ctx context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+		other := mine.NewError(ctx, err)
+		encoder := &jx.Encoder{}
+		other.Response.Encode(encoder)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(other.StatusCode)
+		_, _ = w.Write(encoder.Bytes())
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, MaxCall)
+		server.ServeHTTP(w, r)
+	}), nil
+}
+
+// Serve answers on an address until the returned server is closed.
+func Serve(address string, duties Duties) (server *http.Server, err error) {
+	handler, err := Handler(duties)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := parley.Listen(address, 3*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	server = &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10}
+	go func(listener net.Listener) { _ = server.Serve(listener) }(listener)
+	return server, nil
+}
--- /dev/null
+++ b/internal/parley/words.go
@@ -0,0 +1,240 @@
+// Package parley is the inner protocol: what daemons say to each other over
+// net/rpc. This file holds the pairs of questions and answers; the types of
+// ids, epochs and spans are shared by all that take part.
+package parley
+
+import (
+	"time"
+
+	"tinpin/internal/canon"
+)
+
+// FellowID is the name of a daemon, ServerID one life of a backend, SiteName a zone.
+type (
+	FellowID    string
+	ServerID    string
+	SiteName    string
+	RegionName  string
+	ServiceName string
+)
+
+// Life tells the runs of one daemon apart.
+type Life uint64
+
+// Epoch is a place in what the leader has told; Term is whose telling it is.
+type (
+	Epoch uint64
+	Term  uint64
+)
+
+// Fellow is a passage daemon as the others know it.
+type Fellow struct {
+	ID       FellowID
+	Life     Life
+	Site     SiteName
+	Region   RegionName
+	Front    string
+	Inner    string
+	Ready    bool
+	Stopping bool
+}
+
+// FellowChange is one line of the roll; Gone takes it out.
+type FellowChange struct {
+	Fellow
+	Gone bool
+}
+
+// Server is one life of a backend as the platform lists it.
+type Server struct {
+	ID       ServerID
+	Service  ServiceName
+	Address  string
+	Site     SiteName
+	Slots    int
+	Draining bool
+	Cold     time.Duration
+}
+
+// ServerChange is one line of the list; Gone takes it out.
+type ServerChange struct {
+	Server
+	Gone bool
+}
+
+// Health is what an owner found out about a backend.
+type Health uint8
+
+// The states of health.
+const (
+	Unknown Health = iota
+	Up
+	Down
+)
+
+// State is one backend's health with the time its cold spell still lasts.
+type State struct {
+	Server ServerID
+	Health Health
+	Cold   time.Duration
+	Gone   bool
+}
+
+// ShardMap is the list that all daemons hash over.
+type ShardMap struct {
+	Term    Term
+	Count   Epoch
+	Members []FellowID
+}
+
+// LeaseKind names a bound of the whole fleet.
+type LeaseKind uint8
+
+// The leased bounds.
+const (
+	ColdRate LeaseKind = iota + 1
+	TenantRate
+	TenantBurst
+	RetrySlack
+)
+
+// Lease is a share of a bound; it counts from when its holder asked.
+type Lease struct {
+	Kind   LeaseKind
+	Key    string
+	Amount float64
+	Span   time.Duration
+}
+
+// Evacuation is a site's standing order.
+type Evacuation struct {
+	Site   SiteName
+	Active bool
+	Rev    uint64
+}
+
+// Core is an accord daemon as fellows know it.
+type Core struct{ Inner, Control string }
+
+// BeatAsk is a fellow's beat: who it is, what it has seen, what it wants.
+type BeatAsk struct {
+	Fellow
+	Term    Term
+	Epoch   Epoch
+	Rev     uint64
+	Hold    time.Duration
+	Stale   []ServiceName
+	Demands []Demand
+	Holding []Lease
+}
+
+// Demand is how much of a bound a fellow could use.
+type Demand struct {
+	Kind   LeaseKind
+	Key    string
+	Amount float64
+}
+
+// News is the answer to a beat: all that changed since.
+type News struct {
+	Leader      bool
+	Hint        string
+	Cores       []Core
+	Term        Term
+	Epoch       Epoch
+	Full        bool
+	Rev         uint64
+	Items       []canon.Item
+	Evacuations []Evacuation
+	Listed      bool
+	Servers     []ServerChange
+	Fellows     []FellowChange
+	States      []State
+	Map         *ShardMap
+	Absent      []FellowID
+	Leases      []Lease
+}
+
+// ClaimAsk puts a batch of claims or gives claims back.
+type ClaimAsk struct {
+	Holder FellowID
+	Life   Life
+	Claims []KeyClaim
+	Frees  []KeyClaim
+}
+
+// KeyClaim is an operation key wanted for a request.
+type KeyClaim struct{ Key, Request string }
+
+// Outcome of one claim.
+type Outcome uint8
+
+// The outcomes of a claim.
+const (
+	Unclear Outcome = iota
+	Granted
+	Held
+	Refused
+)
+
+// ClaimFound is the answer to one claim; Holder has it where it is held.
+type ClaimFound struct {
+	Outcome Outcome
+	Holder  FellowID
+	Inner   string
+	Life    Life
+	Request string
+}
+
+// ClaimReply answers a batch in its order.
+type ClaimReply struct {
+	Leader bool
+	Found  []ClaimFound
+	// Freed tells that everything given back is given back for good.
+	Freed bool
+}
+
+// RecallAsk asks the holder of a key for its answer.
+type RecallAsk struct {
+	Key, Request string
+	Life         Life
+	Region       RegionName
+}
+
+// Standing of an operation at its holder.
+type Standing uint8
+
+// How an operation stands.
+const (
+	Lost Standing = iota
+	Running
+	Answered
+	Freed
+)
+
+// RecallReply is the stored answer, if there is one.
+type RecallReply struct {
+	Standing Standing
+	Status   int
+	Header   [][2]string
+	Body     []byte
+}
+
+// ReportAsk brings an owner's findings to the state cache.
+type ReportAsk struct {
+	Fellow  FellowID
+	Term    Term
+	Count   Epoch
+	Service ServiceName
+	Full    bool
+	States  []State
+}
+
+// ReportReply tells whether the cache took it.
+type ReportReply struct{ Leader, Taken bool }
+
+// StatusAsk asks a daemon how it stands.
+type StatusAsk struct{}
+
+// StatusReply is a daemon's account of itself, as JSON.
+type StatusReply struct{ JSON []byte }
--- /dev/null
+++ b/internal/passage/budget.go
@@ -0,0 +1,61 @@
+// Budget bounds the arrivals beyond the first of each request. What the
+// requests seen here earn needs no lease; the slack of the bound is the
+// fleet's and used only under a lease. A fifth of each is left unused, for
+// daemons that restart and forget what they sent.
+package passage
+
+import (
+	"sync"
+	"time"
+
+	"tinpin/internal/allot"
+	"tinpin/internal/parley"
+)
+
+const budgetPart = 0.8
+
+type account struct{ requests, extra *allot.Window }
+
+// Budget keeps an account per service.
+type Budget struct {
+	ratio    float64
+	window   time.Duration
+	slack    func() float64
+	mu       sync.Mutex
+	accounts map[parley.ServiceName]*account
+}
+
+// NewBudget keeps to a ratio over a window; slack tells the leased share.
+func NewBudget(ratio float64, window time.Duration, slack func() float64) (budget *Budget) {
+	return &Budget{ratio: ratio, window: max(window, time.Millisecond), slack: slack, accounts: map[parley.ServiceName]*account{}}
+}
+
+func (b *Budget) account(service parley.ServiceName) (found *account) {
+	found = b.accounts[service]
+	if found == nil {
+		found = &account{allot.NewWindow(b.window), allot.NewWindow(b.window)}
+		b.accounts[service] = found
+	}
+	return found
+}
+
+// Earn notes a request for a service.
+func (b *Budget) Earn(now time.Duration, service parley.ServiceName) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(service).requests.Add(now)
+}
+
+// Spend takes one arrival beyond the first, if there is room for it.
+func (b *Budget) Spend(now time.Duration, service parley.ServiceName) (granted bool) {
+	slack := b.slack()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	found := b.account(service)
+	room := budgetPart*b.ratio*float64(found.requests.Sum(now)) + slack/2
+	if float64(found.extra.Sum(now)+1) > room {
+		return false
+	}
+	found.extra.Add(now)
+	return true
+}
--- /dev/null
+++ b/internal/passage/carry.go
@@ -0,0 +1,197 @@
+// Carry makes a request's plan and carries it out: the tenant's limit first,
+// before anything is taken; then the way; for a keyed way the claim, before
+// the request leaves; then the rounds.
+package passage
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"tinpin/internal/canon"
+	"tinpin/internal/keys"
+	"tinpin/internal/parley"
+	"tinpin/internal/problem"
+)
+
+// plan makes the plan of a request, or says why there is none.
+func (d *Daemon) plan(request *Request, deadline string) (plan *Plan, kind problem.Kind) {
+	scene := d.world.Scene()
+	now := d.clock.Now()
+	if !scene.Started {
+		return nil, problem.NotStarted
+	}
+	path := request.Target
+	if at := strings.IndexByte(path, '?'); at >= 0 {
+		path = path[:at]
+	}
+	way := scene.View.Find(request.Host, path)
+	if way == nil {
+		return nil, problem.NoWay
+	}
+	if request.ID == "" {
+		return nil, problem.BadRequest
+	}
+	if tenant := scene.View.Tenant(request.Host); tenant != nil && !d.limits.Admit(now, tenant) {
+		return nil, problem.OverLimit
+	}
+	left := way.Timeout
+	if left <= 0 {
+		left = time.Minute
+	}
+	if deadline != "" {
+		if number, err := strconv.ParseInt(deadline, 10, 64); err == nil {
+			left = min(left, time.Duration(number)*time.Millisecond)
+		}
+	}
+	if left <= 0 {
+		return nil, problem.TooLate
+	}
+	plan = &Plan{Way: way, Service: target(way), Request: request, Started: now, Till: now + left, Rounds: way.Rounds}
+	if way.Repeat == canon.Keyed {
+		for _, line := range request.Lines {
+			if line[0] == headKey {
+				plan.Key = line[1]
+			}
+		}
+		if plan.Key == "" {
+			return nil, problem.NoKey
+		}
+		if tenant := scene.View.Tenant(request.Host); tenant != nil {
+			plan.Key = tenant.Name + "/" + plan.Key
+		}
+	}
+	d.budget.Earn(now, plan.Service)
+	return plan, problem.None
+}
+
+// Answer plans a request and carries the plan out.
+func (d *Daemon) Answer(request *Request, deadline string) (verdict Verdict) {
+	plan, kind := d.plan(request, deadline)
+	if kind != problem.None {
+		return Deny(kind, request.ID)
+	}
+	if plan.Key != "" {
+		return d.carryKeyed(plan)
+	}
+	verdict, kind = d.carry(plan)
+	if kind != problem.None {
+		return Deny(kind, request.ID)
+	}
+	return verdict
+}
+
+// carry goes through the rounds of a plan.
+func (d *Daemon) carry(plan *Plan) (verdict Verdict, kind problem.Kind) {
+	arrived := 0
+	for {
+		now := d.clock.Now()
+		if now >= plan.Till {
+			return verdict, plan.refusal(problem.TooLate)
+		}
+		scene := d.world.Scene()
+		server, any := d.world.choose(scene, Wanted{Service: plan.Service, Homes: plan.Way.Homes, Tried: plan.Tried})
+		if server == nil {
+			if any {
+				return verdict, plan.refusal(problem.NoRoom)
+			}
+			return verdict, plan.refusal(problem.NoBackend)
+		}
+		if arrived > 0 && !d.budget.Spend(now, plan.Service) {
+			return verdict, plan.refusal(problem.NoRoom)
+		}
+		round := run(d.clock, server, plan.Request, plan.Till)
+		if round.Sent {
+			arrived++
+		}
+		step, problemKind := plan.Learn(d.clock.Now(), server.ID, round)
+		switch step {
+		case GiveAnswer:
+			return round.Verdict, problem.None
+		case GiveProblem:
+			return verdict, problemKind
+		}
+	}
+}
+
+// carryKeyed claims the key first.
+func (d *Daemon) carryKeyed(plan *Plan) (verdict Verdict) {
+	request := plan.Request
+	op, old := d.keys.Open(plan.Key, request.ID)
+	if old != nil {
+		return d.recount(old.Recall(), request.ID)
+	}
+	limit := min(900*time.Millisecond, plan.Till-d.clock.Now())
+	for tries := 0; ; tries++ {
+		found := d.link.Claim(parley.KeyClaim{Key: plan.Key, Request: request.ID}, limit)
+		switch found.Outcome {
+		case parley.Granted:
+		case parley.Held:
+			var reply parley.RecallReply
+			if found.Holder == parley.FellowID(d.props.Name) {
+				if found.Life == d.life && d.keys.Freed(plan.Key, found.Request) {
+					reply.Standing = parley.Freed
+					d.link.Free(parley.KeyClaim{Key: plan.Key, Request: found.Request})
+				}
+			} else {
+				reply = d.link.Recall(found, plan.Key)
+			}
+			if reply.Standing == parley.Freed && tries < 3 && d.clock.Now()+limit/2 < plan.Till {
+				time.Sleep(d.nap)
+				continue
+			}
+			d.keys.Abandon(op)
+			return d.recount(reply, request.ID)
+		case parley.Unclear:
+			// The claim may stand, but nothing will ever be sent under it.
+			d.keys.Free(op)
+			d.link.Free(parley.KeyClaim{Key: plan.Key, Request: request.ID})
+			return Deny(problem.NoLeader, request.ID)
+		default:
+			d.keys.Abandon(op)
+			return Deny(problem.NoLeader, request.ID)
+		}
+		break
+	}
+	verdict, kind := d.carry(plan)
+	switch {
+	case kind == problem.None:
+		d.store(op, plan, verdict)
+		return verdict
+	case plan.MayHaveRun:
+		d.keys.Lose(op)
+	default:
+		d.keys.Free(op)
+		d.link.Free(parley.KeyClaim{Key: plan.Key, Request: request.ID})
+	}
+	return Deny(kind, request.ID)
+}
+
+// store keeps the answer of an operation for repeats. Only the homes of a way
+// may store its answers, so elsewhere the operation is known to have run but
+// its answer is not kept.
+func (d *Daemon) store(op *keys.Held, plan *Plan, verdict Verdict) {
+	if verdict.Rest != nil || !allowed(plan.Way.Homes, parley.RegionName(d.props.Region)) {
+		d.keys.Lose(op)
+		return
+	}
+	d.keys.Answer(op, verdict.Status, verdict.Lines, verdict.Body)
+}
+
+// recount answers a repeat from what its holder told.
+func (d *Daemon) recount(reply parley.RecallReply, request string) (verdict Verdict) {
+	switch reply.Standing {
+	case parley.Running:
+		return Deny(problem.KeyAtWork, request)
+	case parley.Answered:
+		verdict = Verdict{Status: reply.Status, Body: reply.Body, Length: int64(len(reply.Body))}
+		for _, line := range reply.Header {
+			if line[0] == headRequest {
+				line[1] = request
+			}
+			verdict.Lines = append(verdict.Lines, line)
+		}
+		return verdict
+	}
+	return Deny(problem.KeyUnknown, request)
+}
--- /dev/null
+++ b/internal/passage/daemon.go
@@ -0,0 +1,193 @@
+// Package passage is the daemon on every edge: it answers name queries,
+// carries requests to backends, probes what the shard map gives it, and keeps
+// its tie to the leader. This file puts its duties together and takes them
+// down in order.
+package passage
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"tinpin/internal/canon"
+	"tinpin/internal/events"
+	"tinpin/internal/keys"
+	"tinpin/internal/office"
+	"tinpin/internal/parley"
+	"tinpin/internal/problem"
+	"tinpin/internal/props"
+)
+
+// Daemon is a running passage daemon.
+type Daemon struct {
+	props    props.Props
+	log      *events.Log
+	clock    Clock
+	life     parley.Life
+	nap      time.Duration
+	world    *World
+	link     *Link
+	keys     *keys.Book
+	budget   *Budget
+	limits   *Limits
+	door     *Door
+	prober   *Prober
+	ready    atomic.Bool
+	stopping atomic.Bool
+	offices  []*http.Server
+}
+
+// Start takes up the work.
+func Start(p props.Props, log *events.Log) (daemon *Daemon, err error) {
+	var luck [8]byte
+	_, _ = rand.Read(luck[:])
+	d := &Daemon{props: p, log: log, clock: NewClock(), life: parley.Life(binary.LittleEndian.Uint64(luck[:])), nap: 60 * time.Millisecond}
+	d.world = NewWorld(p, log, d.clock)
+	d.keys = keys.NewBook(p.Bounds.KeyWindow+20*time.Second, p.MemoryMB<<20/6, d.clock.Now)
+	d.link = NewLink(p, log, d.clock, d.world, d.keys, d.life, d.fellow)
+	d.budget = NewBudget(p.Bounds.RetryRatio, p.Bounds.RetryWindow, func() float64 { return d.world.Share(parley.RetrySlack, "") })
+	d.limits = NewLimits(d.world.Share)
+	d.prober = NewProber(d)
+	d.door = NewDoor(d.Answer, func() *canon.View { return d.world.Scene().View }, max(64, (p.Descriptors-300)*2/3), int64(p.MemoryMB)<<20/4)
+	inner, err := parley.Listen(p.Inner("passage"), time.Second)
+	if err != nil {
+		return nil, err
+	}
+	if err = parley.Serve(inner, map[string]any{"Fellow": &Desk{d}, "Status": &Status{d}}); err != nil {
+		return nil, err
+	}
+	if err = d.door.Open(p.Front); err != nil {
+		return nil, err
+	}
+	for _, address := range []string{p.Readiness, p.Direct} {
+		if address == "" {
+			continue
+		}
+		server, serveErr := office.Serve(address, office.Duties{Ready: d.isReady, Resolve: d.resolve})
+		if serveErr != nil {
+			return nil, serveErr
+		}
+		d.offices = append(d.offices, server)
+	}
+	go d.link.Beat()
+	go d.link.Claims()
+	go d.link.Alone()
+	go d.prober.Run()
+	go d.tend()
+	return d, nil
+}
+
+func (d *Daemon) isReady() bool { return d.ready.Load() && !d.stopping.Load() }
+
+// fellow is this daemon as it tells of itself.
+func (d *Daemon) fellow() parley.Fellow {
+	return parley.Fellow{
+		ID: parley.FellowID(d.props.Name), Life: d.life, Site: parley.SiteName(d.props.Site), Region: parley.RegionName(d.props.Region),
+		Front: d.props.Front, Inner: d.props.Inner("passage"), Ready: d.ready.Load(), Stopping: d.stopping.Load(),
+	}
+}
+
+// tend is the duty for what comes round slowly.
+func (d *Daemon) tend() {
+	ticker := time.NewTicker(250 * time.Millisecond)
+	defer ticker.Stop()
+	for turn := 0; ; turn++ {
+		<-ticker.C
+		if !d.ready.Load() {
+			if scene := d.world.Scene(); scene.Started && scene.Listed {
+				d.ready.Store(true)
+				d.link.Stir()
+			}
+		}
+		if turn%4 == 0 {
+			d.world.Sweep()
+		}
+	}
+}
+
+// Renew takes changed settings up.
+func (d *Daemon) Renew(p props.Props) { d.link.SetSeeds(p.Seeds) }
+
+// Stop ends in order: told to the leader first, so that no directory names
+// this daemon any more; then each answer closes its stream; then, when the
+// clients must have learned it and nothing is at work, the end.
+func (d *Daemon) Stop() {
+	d.stopping.Store(true)
+	d.door.Stop()
+	go d.link.Stir()
+	begun := d.clock.Now()
+	grace := d.props.Bounds.Grace
+	linger := min(grace/2, directionsTTL+time.Second)
+	for {
+		time.Sleep(20 * time.Millisecond)
+		spent := d.clock.Now() - begun
+		if spent >= linger && d.door.AtWork() == 0 || spent >= grace-300*time.Millisecond {
+			break
+		}
+	}
+	d.door.Close()
+	for spent := time.Duration(0); d.door.AtWork() > 0 && d.clock.Now()-begun < grace-150*time.Millisecond; spent++ {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, server := range d.offices {
+		_ = server.Close()
+	}
+}
+
+// Desk takes inner calls of fellows.
+type Desk struct{ daemon *Daemon }
+
+// Recall tells how an operation held here stands.
+func (k *Desk) Recall(ask parley.RecallAsk, reply *parley.RecallReply) (err error) {
+	if ask.Life != k.daemon.life {
+		reply.Standing = parley.Lost
+		return nil
+	}
+	*reply = k.daemon.keys.Find(ask.Key, ask.Request)
+	return nil
+}
+
+// Status is this daemon's account of itself.
+type Status struct{ daemon *Daemon }
+
+type fellowAccount struct {
+	Role    string   `json:"role"`
+	Name    string   `json:"name"`
+	Ready   bool     `json:"ready"`
+	Led     bool     `json:"led"`
+	Leader  string   `json:"leader"`
+	Term    uint64   `json:"term"`
+	Epoch   uint64   `json:"epoch"`
+	Rev     uint64   `json:"rev"`
+	Fellows int      `json:"fellows"`
+	Probes  []string `json:"probes"`
+}
+
+// Tell gives the account.
+func (s *Status) Tell(_ parley.StatusAsk, reply *parley.StatusReply) (err error) {
+	d := s.daemon
+	term, epoch, rev := d.world.Seen()
+	account := fellowAccount{Role: "passage", Name: d.props.Name, Ready: d.isReady(), Led: d.link.Led(), Leader: *d.link.leader.Load(), Term: uint64(term), Epoch: uint64(epoch), Rev: rev, Fellows: len(d.world.Scene().Fellows)}
+	for _, service := range d.world.Duties() {
+		account.Probes = append(account.Probes, string(service))
+	}
+	reply.JSON, err = json.Marshal(account)
+	return err
+}
+
+// resolve tells a client where to go.
+func (d *Daemon) resolve(_ context.Context, _, region, site string) (addresses []string, ttl time.Duration, err error) {
+	scene := d.world.Scene()
+	addresses = Directions(scene.Fellows, d.world.Absent(), region, site)
+	if len(addresses) == 0 && d.isReady() {
+		addresses = []string{d.props.Front}
+	}
+	if len(addresses) == 0 {
+		return nil, 0, &office.Trouble{Kind: problem.NotReady}
+	}
+	return addresses, min(directionsTTL, d.props.Bounds.TTLMax), nil
+}
--- /dev/null
+++ b/internal/passage/door.go
@@ -0,0 +1,318 @@
+// Door is where clients come in. A duty per client stream reads requests with
+// net/http's codec, ahead of the answers where they are idempotent; another
+// writes the answers in their order. net/http's own server is not used: it
+// reads a pipelined request only once the one before is answered, and it adds
+// head lines of its own. A request that may not be repeated is taken up only
+// when all before it on the stream are answered, because an answer that closes
+// the stream tells the client that those behind it were not read.
+package passage
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tinpin/internal/canon"
+	"tinpin/internal/parley"
+	"tinpin/internal/problem"
+)
+
+const (
+	pipeline   = 16
+	lingerSpan = time.Second
+	bodyPause  = 10 * time.Second
+)
+
+// Door takes in clients.
+type Door struct {
+	answer   func(request *Request, deadline string) Verdict
+	view     func() *canon.View
+	stopping atomic.Bool
+	open     atomic.Int64
+	atWork   atomic.Int64
+	most     int64
+	room     atomic.Int64
+	listener net.Listener
+}
+
+// NewDoor answers with a function; most streams and bytes of bodies at once.
+func NewDoor(answer func(*Request, string) Verdict, view func() *canon.View, most int, room int64) (door *Door) {
+	door = &Door{answer: answer, view: view, most: int64(most)}
+	door.room.Store(room)
+	return door
+}
+
+// Open listens and serves.
+func (d *Door) Open(address string) (err error) {
+	if d.listener, err = parley.Listen(address, 5*time.Second); err != nil {
+		return err
+	}
+	go d.Serve(d.listener)
+	return nil
+}
+
+// Serve takes in streams until the listener closes.
+func (d *Door) Serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		if d.open.Add(1) > d.most {
+			d.open.Add(-1)
+			_ = conn.Close()
+			continue
+		}
+		go d.welcome(conn)
+	}
+}
+
+// Stop makes every further answer close its stream.
+func (d *Door) Stop() { d.stopping.Store(true) }
+
+// AtWork counts requests that are read and not yet answered.
+func (d *Door) AtWork() int64 { return d.atWork.Load() }
+
+// Close stops listening.
+func (d *Door) Close() { _ = d.listener.Close() }
+
+type turn struct {
+	verdict chan Verdict
+	ready   Verdict
+	old     bool
+	last    bool
+}
+
+// counted counts what is read, and ends a head that is too long.
+type counted struct {
+	conn  net.Conn
+	total int64
+	most  int64
+}
+
+var errHeadTooLarge = errors.New("head too large")
+
+func (c *counted) Read(into []byte) (size int, err error) {
+	if c.most > 0 && c.total >= c.most {
+		return 0, errHeadTooLarge
+	}
+	size, err = c.conn.Read(into)
+	c.total += int64(size)
+	return size, err
+}
+
+// welcome serves one client stream.
+func (d *Door) welcome(conn net.Conn) {
+	defer d.open.Add(-1)
+	turns := make(chan *turn, pipeline)
+	var pending sync.WaitGroup
+	var broken, closing atomic.Bool
+	written := make(chan struct{})
+	go d.reply(conn, turns, &pending, &broken, &closing, written)
+	d.listen(conn, turns, &pending, &broken, &closing)
+	close(turns)
+	<-written
+	if !broken.Load() {
+		// What the client still sends is read away for a moment, so that the
+		// last answer is not lost to a reset.
+		if half, ok := conn.(*net.TCPConn); ok {
+			_ = half.CloseWrite()
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(lingerSpan))
+		_, _ = io.Copy(io.Discard, io.LimitReader(conn, 1<<20))
+	}
+	_ = conn.Close()
+}
+
+// listen reads requests until the stream is to end.
+func (d *Door) listen(conn net.Conn, turns chan<- *turn, pending *sync.WaitGroup, broken, closing *atomic.Bool) {
+	source := &counted{conn: conn}
+	in := bufio.NewReaderSize(source, 4096)
+	put := func(t *turn) {
+		pending.Add(1)
+		d.atWork.Add(1)
+		turns <- t
+	}
+	deny := func(kind problem.Kind, id string) {
+		verdict := Deny(kind, id)
+		verdict.Close = true
+		put(&turn{ready: verdict, last: true})
+	}
+	for {
+		limits := d.view().Limits
+		source.most = 0
+		_ = conn.SetReadDeadline(time.Now().Add(limits.IdleTime))
+		if _, err := in.Peek(1); err != nil || broken.Load() || closing.Load() {
+			if err != nil && !errors.Is(err, io.EOF) && !isTimeout(err) {
+				broken.Store(true)
+			}
+			return
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(limits.HeadTime))
+		before := source.total - int64(in.Buffered())
+		source.most = before + int64(limits.HeadBytes) + 1
+		parsed, err := http.ReadRequest(in)
+		size := source.total - int64(in.Buffered()) - before
+		source.most = 0
+		if err != nil {
+			switch {
+			case errors.Is(err, errHeadTooLarge):
+				deny(problem.HeadTooLarge, "")
+			case isTimeout(err):
+				deny(problem.HeadTooSlow, "")
+			case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+				return
+			default:
+				deny(problem.BadRequest, "")
+			}
+			return
+		}
+		id := parsed.Header.Get(headRequest)
+		if size > int64(limits.HeadBytes) {
+			deny(problem.HeadTooLarge, id)
+			return
+		}
+		request, kind := d.read(conn, in, parsed, limits, turns, pending)
+		if kind != problem.None {
+			deny(kind, id)
+			return
+		}
+		t := &turn{verdict: make(chan Verdict, 1), old: parsed.ProtoMinor == 0, last: parsed.Close}
+		path, _, _ := strings.Cut(request.Target, "?")
+		way := d.view().Find(request.Host, path)
+		if way != nil && way.Repeat != canon.Idempotent {
+			pending.Wait()
+		}
+		if broken.Load() || closing.Load() {
+			return
+		}
+		put(t)
+		deadline := parsed.Header.Get(headDeadline)
+		go func() {
+			verdict := d.answer(request, deadline)
+			d.room.Add(int64(len(request.Body)))
+			t.verdict <- verdict
+		}()
+		if t.last {
+			return
+		}
+	}
+}
+
+// read takes the request's body in and makes what is passed on.
+func (d *Door) read(conn net.Conn, in *bufio.Reader, parsed *http.Request, limits canon.LimitItem, turns chan<- *turn, pending *sync.WaitGroup) (request *Request, kind problem.Kind) {
+	target := parsed.RequestURI
+	if parsed.Method == http.MethodConnect || target == "" || target[0] != '/' && target != "*" {
+		if parsed.URL == nil || parsed.URL.Host == "" || parsed.Method == http.MethodConnect {
+			return nil, problem.BadRequest
+		}
+		at := strings.Index(target, "://")
+		slash := strings.IndexByte(target[at+3:], '/')
+		if at < 0 || slash < 0 {
+			target = "/"
+		} else {
+			target = target[at+3+slash:]
+		}
+	}
+	if parsed.Host == "" {
+		return nil, problem.BadRequest
+	}
+	request = &Request{Method: parsed.Method, Target: target, Host: parsed.Host, ID: parsed.Header.Get(headRequest), Lines: carried(parsed.Header)}
+	if parsed.ContentLength == 0 {
+		request.HasBody = len(parsed.Header["Content-Length"]) > 0
+		return request, problem.None
+	}
+	if parsed.ContentLength > int64(limits.BodyBytes) {
+		return nil, problem.BodyTooLarge
+	}
+	if strings.EqualFold(parsed.Header.Get("Expect"), "100-continue") {
+		pending.Wait()
+		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(bodyPause))
+	request.HasBody = true
+	if parsed.ContentLength > 0 {
+		if d.room.Add(-parsed.ContentLength) < 0 {
+			d.room.Add(parsed.ContentLength)
+			return nil, problem.NoRoom
+		}
+		request.Body = make([]byte, parsed.ContentLength)
+		if _, err := io.ReadFull(parsed.Body, request.Body); err != nil {
+			d.room.Add(parsed.ContentLength)
+			return nil, problem.BadRequest
+		}
+		return request, problem.None
+	}
+	most := min(int64(limits.BodyBytes), max(d.room.Load(), 0))
+	body, err := io.ReadAll(io.LimitReader(parsed.Body, most+1))
+	if err != nil {
+		return nil, problem.BadRequest
+	}
+	if int64(len(body)) > int64(limits.BodyBytes) {
+		return nil, problem.BodyTooLarge
+	}
+	if int64(len(body)) > most {
+		return nil, problem.NoRoom
+	}
+	d.room.Add(-int64(len(body)))
+	request.Body = body
+	return request, problem.None
+}
+
+// reply writes the answers in their order.
+func (d *Door) reply(conn net.Conn, turns <-chan *turn, pending *sync.WaitGroup, broken, closing *atomic.Bool, written chan<- struct{}) {
+	defer close(written)
+	var buffer []byte
+	ended := false
+	for t := range turns {
+		verdict := t.ready
+		if t.verdict != nil {
+			verdict = <-t.verdict
+		}
+		if ended {
+			if verdict.Finish != nil {
+				verdict.Finish(false)
+			}
+			d.atWork.Add(-1)
+			pending.Done()
+			continue
+		}
+		verdict.Close = verdict.Close || t.last || d.stopping.Load()
+		if verdict.Close {
+			closing.Store(true)
+		}
+		_ = conn.SetWriteDeadline(time.Now().Add(30 * time.Second))
+		var whole bool
+		buffer, whole = verdict.Write(conn, buffer, t.old)
+		if cap(buffer) > 64<<10 {
+			buffer = nil
+		}
+		if !whole {
+			broken.Store(true)
+			if half, ok := conn.(*net.TCPConn); ok {
+				_ = half.SetLinger(0)
+			}
+			_ = conn.Close()
+			ended = true
+		} else if verdict.Close {
+			// The reader is woken, and what it has read behind is not taken up.
+			ended = true
+			if half, ok := conn.(*net.TCPConn); ok {
+				_ = half.CloseWrite()
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(lingerSpan))
+		}
+		d.atWork.Add(-1)
+		pending.Done()
+	}
+}
--- /dev/null
+++ b/internal/passage/link.go
@@ -0,0 +1,289 @@
+// Link is this daemon's tie to the leader: beats out, news back, claims of
+// keys in batches, owners' reports. Without a leader it asks every core it
+// knows in turn and lets the rest of the daemon know that it is on its own.
+package passage
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tinpin/internal/census"
+	"tinpin/internal/events"
+	"tinpin/internal/keys"
+	"tinpin/internal/parley"
+	"tinpin/internal/props"
+)
+
+const (
+	beatHold    = 600 * time.Millisecond
+	beatPatient = 500 * time.Millisecond
+	leaderless  = 1300 * time.Millisecond
+	claimRing   = 1024
+	claimCalls  = 6
+)
+
+type claimWish struct {
+	claim parley.KeyClaim
+	done  chan parley.ClaimFound
+}
+
+// Link ties the daemon to its leader.
+type Link struct {
+	props  props.Props
+	log    *events.Log
+	clock  Clock
+	world  *World
+	keys   *keys.Book
+	life   parley.Life
+	self   func() parley.Fellow
+	seeds  atomic.Pointer[[]string]
+	heard  atomic.Int64
+	leader atomic.Pointer[string]
+	claims chan claimWish
+	calls  chan struct{}
+	stir   chan struct{}
+
+	mu      sync.Mutex
+	callers map[string]*parley.Caller
+	frees   map[parley.KeyClaim]bool
+}
+
+// NewLink is a link that has not found a leader yet.
+func NewLink(p props.Props, log *events.Log, clock Clock, world *World, book *keys.Book, life parley.Life, self func() parley.Fellow) (link *Link) {
+	link = &Link{
+		props: p, log: log, clock: clock, world: world, keys: book, life: life, self: self,
+		claims: make(chan claimWish, claimRing), calls: make(chan struct{}, claimCalls), stir: make(chan struct{}, 1),
+		callers: map[string]*parley.Caller{}, frees: map[parley.KeyClaim]bool{},
+	}
+	link.heard.Store(int64(-time.Hour))
+	nobody := ""
+	link.leader.Store(&nobody)
+	link.SetSeeds(p.Seeds)
+	return link
+}
+
+// SetSeeds takes changed seeds up.
+func (l *Link) SetSeeds(seeds []string) { l.seeds.Store(&seeds) }
+
+// Led tells whether a leader was heard lately.
+func (l *Link) Led() bool { return l.clock.Now()-time.Duration(l.heard.Load()) < leaderless }
+
+func (l *Link) caller(inner string) (caller *parley.Caller) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	caller = l.callers[inner]
+	if caller == nil {
+		caller = parley.NewCaller(inner)
+		l.callers[inner] = caller
+	}
+	return caller
+}
+
+// Stir makes the next beat go out at once, for news of one's own.
+func (l *Link) Stir() {
+	fellow := l.self()
+	inner := *l.leader.Load()
+	if inner == "" {
+		return
+	}
+	var news parley.News
+	term, epoch, rev := l.world.Seen()
+	_ = l.caller(inner).Call("Forum.Beat", parley.BeatAsk{Fellow: fellow, Term: term, Epoch: epoch, Rev: rev}, &news, 300*time.Millisecond)
+}
+
+// Beat is the duty that keeps the tie.
+func (l *Link) Beat() {
+	next := 0
+	hint := ""
+	for {
+		target := hint
+		hint = ""
+		if target == "" {
+			var all []string
+			seen := map[string]bool{}
+			for _, seed := range *l.seeds.Load() {
+				if inner := l.props.Accord(seed); inner != "" && !seen[inner] {
+					seen[inner] = true
+					all = append(all, inner)
+				}
+			}
+			for _, inner := range l.world.Known() {
+				if !seen[inner] {
+					seen[inner] = true
+					all = append(all, inner)
+				}
+			}
+			if len(all) == 0 {
+				time.Sleep(100 * time.Millisecond)
+				continue
+			}
+			target = all[next%len(all)]
+			next++
+		}
+		asked := l.clock.Now()
+		term, epoch, rev := l.world.Seen()
+		ask := parley.BeatAsk{Fellow: l.self(), Term: term, Epoch: epoch, Rev: rev, Hold: beatHold}
+		if !l.Led() {
+			ask.Hold = 0
+		}
+		news := new(parley.News)
+		if err := l.caller(target).Call("Forum.Beat", ask, news, ask.Hold+beatPatient); err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		if !news.Leader {
+			if news.Hint != "" && news.Hint != target {
+				hint = news.Hint
+			}
+			l.world.Take(asked, &parley.News{Cores: news.Cores, Term: term, Epoch: epoch})
+			time.Sleep(30 * time.Millisecond)
+			continue
+		}
+		if !l.Led() {
+			l.log.Say(events.LeaderFound, "leader", target, "term", uint64(news.Term))
+		}
+		l.heard.Store(int64(l.clock.Now()))
+		l.leader.Store(&target)
+		l.world.Take(asked, news)
+		hint = target
+	}
+}
+
+// Alone is the duty that reads the platform's list while there is no leader,
+// at a pace the whole fleet together may keep.
+func (l *Link) Alone() {
+	if l.props.PlatformAddress == "" {
+		return
+	}
+	platform := census.NewPlatform(l.props.PlatformAddress)
+	for {
+		time.Sleep(500 * time.Millisecond)
+		if l.Led() {
+			continue
+		}
+		fleet := max(4, len(l.world.Scene().Fellows))
+		walk, pages, err := platform.Walk(100 * time.Millisecond)
+		if err == nil && !l.Led() {
+			l.world.TakeList(walk)
+		}
+		pace := time.Duration(float64(2*fleet*max(1, pages)) / max(l.props.PlatformRate, 0.1) * float64(time.Second))
+		time.Sleep(max(pace, time.Second))
+	}
+}
+
+// Claim asks the cores for a key.
+func (l *Link) Claim(claim parley.KeyClaim, limit time.Duration) (found parley.ClaimFound) {
+	if limit <= 0 || !l.Led() {
+		return parley.ClaimFound{Outcome: parley.Refused}
+	}
+	wish := claimWish{claim, make(chan parley.ClaimFound, 1)}
+	select {
+	case l.claims <- wish:
+	default:
+		return parley.ClaimFound{Outcome: parley.Refused}
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case found = <-wish.done:
+		return found
+	case <-timer.C:
+		return parley.ClaimFound{Outcome: parley.Unclear}
+	}
+}
+
+// Free gives a key back; it is told to the cores until they have it.
+func (l *Link) Free(claim parley.KeyClaim) {
+	l.mu.Lock()
+	l.frees[claim] = true
+	l.mu.Unlock()
+	select {
+	case l.stir <- struct{}{}:
+	default:
+	}
+}
+
+// Claims is the duty that sends claims, all that wait in one call.
+func (l *Link) Claims() {
+	for {
+		var batch []claimWish
+		select {
+		case first := <-l.claims:
+			batch = append(batch, first)
+		case <-l.stir:
+		}
+		l.calls <- struct{}{}
+		for more := true; more && len(batch) < 128; {
+			select {
+			case wish := <-l.claims:
+				batch = append(batch, wish)
+			default:
+				more = false
+			}
+		}
+		l.mu.Lock()
+		var frees []parley.KeyClaim
+		for claim := range l.frees {
+			frees = append(frees, claim)
+		}
+		l.mu.Unlock()
+		go l.call(batch, frees)
+	}
+}
+
+func (l *Link) call(batch []claimWish, frees []parley.KeyClaim) {
+	defer func() { <-l.calls }()
+	ask := parley.ClaimAsk{Holder: parley.FellowID(l.props.Name), Life: l.life, Frees: frees}
+	for _, wish := range batch {
+		ask.Claims = append(ask.Claims, wish.claim)
+	}
+	var reply parley.ClaimReply
+	err := l.caller(*l.leader.Load()).Call("Forum.Claim", ask, &reply, 900*time.Millisecond)
+	refused := err != nil && parley.Unsent.Has(err) || err == nil && !reply.Leader
+	for i, wish := range batch {
+		found := parley.ClaimFound{}
+		if refused {
+			found.Outcome = parley.Refused
+		} else if err == nil && i < len(reply.Found) {
+			found = reply.Found[i]
+		}
+		wish.done <- found
+	}
+	if err == nil && reply.Leader && reply.Freed {
+		l.mu.Lock()
+		for _, claim := range frees {
+			delete(l.frees, claim)
+		}
+		l.mu.Unlock()
+	} else if len(frees) > 0 {
+		time.AfterFunc(250*time.Millisecond, func() {
+			select {
+			case l.stir <- struct{}{}:
+			default:
+			}
+		})
+	}
+}
+
+// Recall asks the holder of a key how the operation stands.
+func (l *Link) Recall(found parley.ClaimFound, key string) (reply parley.RecallReply) {
+	if found.Inner == "" {
+		return reply
+	}
+	ask := parley.RecallAsk{Key: key, Request: found.Request, Life: found.Life}
+	if err := l.caller(found.Inner).Call("Fellow.Recall", ask, &reply, 600*time.Millisecond); err != nil {
+		return parley.RecallReply{Standing: parley.Lost}
+	}
+	return reply
+}
+
+// Report brings an owner's findings to the state cache.
+func (l *Link) Report(ask parley.ReportAsk) (taken bool) {
+	if !l.Led() {
+		return false
+	}
+	var reply parley.ReportReply
+	err := l.caller(*l.leader.Load()).Call("Forum.Report", ask, &reply, 500*time.Millisecond)
+	return err == nil && reply.Leader && reply.Taken
+}
--- /dev/null
+++ b/internal/passage/plan.go
@@ -0,0 +1,79 @@
+// Plan is the way of one request through this daemon, made first as data and
+// then carried out. After each round the plan says what comes next: another
+// round, only where the request is idempotent or proven not to have run; the
+// answer; or a problem, which promises that nothing ran only if that is so.
+package passage
+
+import (
+	"time"
+
+	"tinpin/internal/canon"
+	"tinpin/internal/parley"
+	"tinpin/internal/problem"
+)
+
+// Plan is one request's way.
+type Plan struct {
+	Way     *canon.Way
+	Service parley.ServiceName
+	Request *Request
+	Key     string
+	Started time.Duration
+	Till    time.Duration
+	Rounds  int
+	Tried   []parley.ServerID
+	// MayHaveRun is set once a round ended without proof that nothing ran.
+	MayHaveRun bool
+	dials      int
+}
+
+// Step is what the plan wants next.
+type Step uint8
+
+// The steps.
+const (
+	TryAgain Step = iota
+	GiveAnswer
+	GiveProblem
+)
+
+// Learn takes the outcome of a round and tells what comes next.
+func (p *Plan) Learn(now time.Duration, server parley.ServerID, round Round) (step Step, kind problem.Kind) {
+	if round.Sent {
+		p.Rounds--
+	}
+	p.Tried = append(p.Tried, server)
+	switch round.Outcome {
+	case Whole:
+		return GiveAnswer, problem.None
+	case NotSent:
+		if p.dials++; p.dials > 4 {
+			return GiveProblem, p.refusal(problem.NoBackend)
+		}
+	case Turned:
+	case Broken:
+		p.MayHaveRun = true
+		if p.Way.Repeat != canon.Idempotent {
+			return GiveProblem, problem.Broken
+		}
+	case Silent:
+		p.MayHaveRun = true
+		return GiveProblem, problem.DeadlineOver
+	}
+	if now >= p.Till {
+		return GiveProblem, p.refusal(problem.TooLate)
+	}
+	if p.Rounds <= 0 {
+		return GiveProblem, p.refusal(problem.NoRoom)
+	}
+	return TryAgain, problem.None
+}
+
+// refusal is a promise that nothing ran where that is so, else the word that
+// the answer was lost.
+func (p *Plan) refusal(kind problem.Kind) problem.Kind {
+	if p.MayHaveRun {
+		return problem.Broken
+	}
+	return kind
+}
--- /dev/null
+++ b/internal/passage/probe.go
@@ -0,0 +1,219 @@
+// Prober probes the backends of the services that the watch gives this daemon
+// and reports what it finds: changes at once, and with each round of a service
+// that the round was made, so that the cache can tell a stalled owner. Probes
+// go over the same pools as requests and are spread over the interval.
+package passage
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"tinpin/internal/events"
+	"tinpin/internal/parley"
+)
+
+const (
+	probePhases  = 4
+	probePatient = 1200 * time.Millisecond
+)
+
+// Finding is what one probe found.
+type Finding uint8
+
+// The findings.
+const (
+	FoundUp Finding = iota
+	FoundDown
+	FoundBusy
+	FoundSilent
+	FoundGarbled
+)
+
+type watchedServer struct {
+	state   parley.State
+	silent  int
+	known   bool
+	changed bool
+}
+
+// Prober probes.
+type Prober struct {
+	daemon *Daemon
+	mu     sync.Mutex
+	found  map[parley.ServerID]*watchedServer
+	told   map[parley.ServiceName]parley.Term
+	phase  int
+}
+
+// NewProber has found nothing yet.
+func NewProber(d *Daemon) (prober *Prober) {
+	return &Prober{daemon: d, found: map[parley.ServerID]*watchedServer{}, told: map[parley.ServiceName]parley.Term{}}
+}
+
+// Run is the duty that probes.
+func (p *Prober) Run() {
+	ticker := time.NewTicker(p.daemon.props.ProbeInterval / probePhases)
+	defer ticker.Stop()
+	for range ticker.C {
+		p.turn()
+	}
+}
+
+func (p *Prober) turn() {
+	d := p.daemon
+	duties, term, count := d.world.Tick(d.link.Led())
+	scene := d.world.Scene()
+	p.phase = (p.phase + 1) % probePhases
+	mine := map[parley.ServiceName]bool{}
+	for _, service := range duties {
+		mine[service] = true
+		way := scene.View.Services[string(service)]
+		if way == nil {
+			continue
+		}
+		for i, server := range scene.Services[service] {
+			if i%probePhases == p.phase && !server.Draining {
+				go p.probe(server, way.HealthPath, term, count)
+			}
+		}
+		if p.phase == 0 {
+			go p.report(service, scene.Services[service], term, count)
+		}
+	}
+	for service := range p.told {
+		if !mine[service] {
+			delete(p.told, service)
+		}
+	}
+}
+
+func (p *Prober) probe(server *Server, path string, term parley.Term, count parley.Epoch) {
+	d := p.daemon
+	finding, cold := probe(d.clock, server, path)
+	p.mu.Lock()
+	held := p.found[server.ID]
+	if held == nil {
+		held = &watchedServer{state: parley.State{Server: server.ID}}
+		p.found[server.ID] = held
+	}
+	before := held.state
+	switch finding {
+	case FoundUp:
+		held.silent = 0
+		held.state.Health, held.state.Cold = parley.Up, cold
+	case FoundDown:
+		held.silent = 0
+		held.state.Health = parley.Down
+	case FoundSilent:
+		if held.silent++; held.silent >= 2 {
+			held.state.Health = parley.Down
+		}
+	case FoundBusy:
+		held.silent = 0
+		if held.state.Health != parley.Up {
+			held.state.Health = parley.Up
+		}
+	}
+	state := held.state
+	turned := before.Health != state.Health || (before.Cold > 0) != (state.Cold > 0) || state.Cold > 0
+	held.changed = held.changed || turned
+	p.mu.Unlock()
+	if finding == FoundGarbled || finding == FoundSilent && state.Health != parley.Down {
+		return
+	}
+	server.note(d.clock.Now(), nil, &state)
+	if before.Health != state.Health {
+		if before.Health != parley.Unknown || state.Health == parley.Down {
+			d.log.Say(events.HealthChanged, "backend", string(server.ID), "health", int(state.Health))
+		}
+	}
+	if turned && d.link.Led() {
+		d.link.Report(parley.ReportAsk{Fellow: parley.FellowID(d.props.Name), Term: term, Count: count, Service: server.Service, States: []parley.State{state}})
+	}
+}
+
+// report tells the cache that a round was made; the first to a leader is full.
+func (p *Prober) report(service parley.ServiceName, servers []*Server, term parley.Term, count parley.Epoch) {
+	d := p.daemon
+	leader, _, _ := d.world.Seen()
+	ask := parley.ReportAsk{Fellow: parley.FellowID(d.props.Name), Term: term, Count: count, Service: service}
+	p.mu.Lock()
+	ask.Full = p.told[service] != leader
+	if ask.Full {
+		for _, server := range servers {
+			if held := p.found[server.ID]; held != nil && held.state.Health != parley.Unknown {
+				ask.States = append(ask.States, held.state)
+			}
+		}
+		ask.Full = len(ask.States) == len(servers)
+	}
+	if len(p.found) > 4096 {
+		p.found = map[parley.ServerID]*watchedServer{}
+	}
+	p.mu.Unlock()
+	if d.link.Report(ask) && ask.Full {
+		p.mu.Lock()
+		p.told[service] = leader
+		p.mu.Unlock()
+	}
+}
+
+// probe asks a backend how it is.
+func probe(clock Clock, server *Server, path string) (finding Finding, cold time.Duration) {
+	now := clock.Now()
+	stream := server.take(now)
+	if stream == nil {
+		var err error
+		if stream, err = server.dial(probePatient); err != nil {
+			if isTimeout(err) {
+				return FoundSilent, 0
+			}
+			return FoundDown, 0
+		}
+	}
+	_ = stream.conn.SetDeadline(time.Now().Add(probePatient))
+	text := "GET " + path + " HTTP/1.1\r\nHost: " + server.Address + "\r\n" + headTarget + ": " + string(server.ID) + "\r\n\r\n"
+	if _, err := stream.conn.Write([]byte(text)); err != nil {
+		server.drop(stream)
+		return FoundGarbled, 0
+	}
+	for skipped := 0; skipped <= skipMost; skipped++ {
+		response, err := http.ReadResponse(stream.in, &http.Request{Method: http.MethodGet})
+		if err != nil {
+			server.drop(stream)
+			if isTimeout(err) {
+				return FoundSilent, 0
+			}
+			return FoundGarbled, 0
+		}
+		_, whole, _ := readBody(response)
+		if !whole {
+			server.drop(stream)
+			return FoundGarbled, 0
+		}
+		if response.Header.Get(headRequest) != "" || response.StatusCode < 200 {
+			continue
+		}
+		if keep := keepFor(response); !response.Close && stream.in.Buffered() == 0 && keep > 0 {
+			_ = stream.conn.SetDeadline(time.Time{})
+			server.give(clock.Now(), stream, keep)
+		} else {
+			server.drop(stream)
+		}
+		if span, ok := coldSpan(response.Header.Get(headCold)); ok {
+			cold = span
+		}
+		switch {
+		case response.StatusCode == http.StatusOK && response.Header.Get(headInstance) == string(server.ID):
+			return FoundUp, cold
+		case response.StatusCode == http.StatusOK || response.StatusCode == http.StatusMisdirectedRequest:
+			return FoundDown, 0
+		case response.Header.Get(headNotRun) != "" || response.StatusCode == http.StatusTooManyRequests:
+			return FoundBusy, 0
+		}
+		return FoundDown, 0
+	}
+	server.drop(stream)
+	return FoundGarbled, 0
+}
--- /dev/null
+++ b/internal/passage/server.go
@@ -0,0 +1,240 @@
+// Server is one life of a backend as this daemon deals with it: what the
+// platform and the state cache say of it, what was seen here, and the pool of
+// streams to it. What is seen here may only take a backend out for a while; it
+// never brings one up against the cache.
+package passage
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"tinpin/internal/allot"
+	"tinpin/internal/parley"
+)
+
+const (
+	dialWait    = 450 * time.Millisecond
+	dialSilence = 800 * time.Millisecond
+	outLeast    = 400 * time.Millisecond
+	outMost     = 4 * time.Second
+)
+
+// Server is a backend and its pool.
+type Server struct {
+	parley.Server
+	Region parley.RegionName
+
+	mu       sync.Mutex
+	health   parley.Health
+	coldTill time.Duration
+	outTill  time.Duration
+	outSpan  time.Duration
+	burden   int
+	open     int
+	pace     float64
+	paceAt   time.Duration
+	idle     []*Stream
+	cold     *allot.Window
+	closed   bool
+}
+
+func newServer(listed parley.Server, region parley.RegionName) (server *Server) {
+	return &Server{Server: listed, Region: region, cold: allot.NewWindow(time.Second)}
+}
+
+// Stream is one connection to a backend; it carries one request at a time.
+type Stream struct {
+	conn    net.Conn
+	raw     syscall.RawConn
+	in      *lineReader
+	server  *Server
+	fresh   bool
+	closeBy time.Duration
+}
+
+// quiet tells that nothing has arrived and the other side has not closed.
+func (s *Stream) quiet() (quiet bool) {
+	if s.in.Buffered() > 0 {
+		return false
+	}
+	err := s.raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, recvErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = recvErr == syscall.EAGAIN || recvErr == syscall.EWOULDBLOCK
+		return true
+	})
+	return quiet && err == nil
+}
+
+// take gives an idle stream that can be used, newest first, or nil.
+func (s *Server) take(now time.Duration) (stream *Stream) {
+	for {
+		s.mu.Lock()
+		last := len(s.idle) - 1
+		if last < 0 {
+			s.mu.Unlock()
+			return nil
+		}
+		stream = s.idle[last]
+		s.idle = s.idle[:last]
+		s.mu.Unlock()
+		if now < stream.closeBy && stream.quiet() {
+			stream.fresh = false
+			return stream
+		}
+		s.drop(stream)
+	}
+}
+
+func (s *Server) dial(wait time.Duration) (stream *Stream, err error) {
+	if wait > dialWait {
+		wait = dialWait
+	}
+	dialer := net.Dialer{Timeout: wait, Control: parley.Firm(dialSilence), KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
+	dialer.SetMultipathTCP(false)
+	s.mu.Lock()
+	s.open++
+	s.mu.Unlock()
+	conn, err := dialer.Dial("tcp4", s.Address)
+	if err != nil {
+		s.mu.Lock()
+		s.open--
+		s.mu.Unlock()
+		return nil, err
+	}
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &Stream{conn: conn, raw: raw, in: newLineReader(conn), server: s, fresh: true}, nil
+}
+
+func (s *Server) drop(stream *Stream) {
+	_ = stream.conn.Close()
+	s.mu.Lock()
+	s.open--
+	s.mu.Unlock()
+}
+
+// give puts a stream back that is fit to be used again.
+func (s *Server) give(now time.Duration, stream *Stream, keep time.Duration) {
+	stream.closeBy = now + keep
+	s.mu.Lock()
+	if s.closed || len(s.idle) >= 32 {
+		s.mu.Unlock()
+		s.drop(stream)
+		return
+	}
+	s.idle = append(s.idle, stream)
+	s.mu.Unlock()
+}
+
+// sweep closes idle streams that are past their time; the oldest lie first.
+func (s *Server) sweep(now time.Duration, all bool) {
+	s.mu.Lock()
+	var old []*Stream
+	kept := s.idle[:0]
+	for _, stream := range s.idle {
+		if all || now >= stream.closeBy {
+			old = append(old, stream)
+		} else {
+			kept = append(kept, stream)
+		}
+	}
+	s.idle = kept
+	s.closed = s.closed || all
+	s.mu.Unlock()
+	for _, stream := range old {
+		s.drop(stream)
+	}
+}
+
+// begin and end bracket a round.
+func (s *Server) begin(now time.Duration) {
+	s.mu.Lock()
+	s.burden++
+	if now < s.coldTill+time.Second {
+		s.cold.Add(now)
+	}
+	s.mu.Unlock()
+}
+
+func (s *Server) end(now, took time.Duration, outcome Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.burden--
+	switch outcome {
+	case Whole:
+		s.outSpan = 0
+		s.learn(now, float64(took)/float64(time.Millisecond))
+	case NotSent, Broken:
+		s.out(now)
+	case Turned:
+		s.learn(now, s.pace*1.5+20)
+	case Silent:
+		s.learn(now, float64(took)/float64(time.Millisecond))
+	}
+}
+
+func (s *Server) learn(now time.Duration, took float64) {
+	if s.paceAt == 0 {
+		s.pace = took
+	} else {
+		s.pace += (took - s.pace) * 0.15
+	}
+	s.paceAt = now
+}
+
+// out takes the backend out here, longer each time.
+func (s *Server) out(now time.Duration) {
+	if s.outTill > now {
+		return
+	}
+	if s.outSpan == 0 {
+		s.outSpan = outLeast
+	} else {
+		s.outSpan = min(s.outSpan*2, outMost)
+	}
+	s.outTill = now + s.outSpan
+}
+
+// note takes what the list and the cache say.
+func (s *Server) note(now time.Duration, listed *parley.Server, state *parley.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if listed != nil {
+		s.Draining = listed.Draining
+		s.Slots = listed.Slots
+	}
+	if state != nil {
+		s.health = state.Health
+		s.coldTill = 0
+		if state.Cold > 0 {
+			s.coldTill = now + state.Cold
+		}
+		if state.Health == parley.Up && s.outTill > now && s.outSpan > outLeast {
+			s.outTill = now
+		}
+	}
+}
+
+// chill marks the backend cold by its own word.
+func (s *Server) chill(now, left time.Duration) {
+	s.mu.Lock()
+	if now+left > s.coldTill {
+		s.coldTill = now + left
+	}
+	s.mu.Unlock()
+}
+
+// hostOnly cuts the port off an address.
+func hostOnly(address string) (host string) {
+	if at := strings.LastIndexByte(address, ':'); at >= 0 {
+		return address[:at]
+	}
+	return address
+}
--- /dev/null
+++ b/internal/passage/verdict.go
@@ -0,0 +1,143 @@
+// Verdict is the small value that says what a client is answered: a status,
+// the head lines and a body, or a problem from the closed table. Write is the
+// one place where it becomes bytes.
+package passage
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"tinpin/internal/problem"
+)
+
+// Line is one head line of an answer.
+type Line = [2]string
+
+// Verdict answers one request.
+type Verdict struct {
+	Status int
+	Lines  []Line
+	Body   []byte
+	// Length is the whole body's length; Rest brings what Body does not hold.
+	Length int64
+	Rest   io.Reader
+	// Finish is told whether Rest was read whole.
+	Finish func(whole bool)
+	// NoBody leaves the body out but tells its length, as HEAD wants it.
+	NoBody bool
+	// Close ends the stream behind the answer.
+	Close bool
+	// Chunked sends Rest in chunks, its length not being known.
+	Chunked bool
+}
+
+// Deny makes the verdict of a problem for a request id.
+func Deny(kind problem.Kind, request string) (verdict Verdict) {
+	answer := kind.Answer()
+	verdict.Status, verdict.Close = answer.Status, answer.Close
+	verdict.Body = []byte(`{"error_message":` + strconv.Quote(answer.Text) + `}`)
+	verdict.Length = int64(len(verdict.Body))
+	verdict.Lines = append(verdict.Lines, Line{"Content-Type", "application/json"})
+	if request != "" {
+		verdict.Lines = append(verdict.Lines, Line{headRequest, request})
+	}
+	if answer.RetryMS > 0 {
+		verdict.Lines = append(verdict.Lines, Line{"Retry-After", answer.Retry()})
+	}
+	return verdict
+}
+
+func bodiless(status int) bool {
+	return status < 200 || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// head writes the head of the answer.
+func (v Verdict) head(to []byte, old bool) []byte {
+	to = append(to, "HTTP/1.1 "...)
+	to = strconv.AppendInt(to, int64(v.Status), 10)
+	to = append(to, ' ')
+	to = append(to, http.StatusText(v.Status)...)
+	to = append(to, "\r\n"...)
+	for _, line := range v.Lines {
+		to = append(to, line[0]...)
+		to = append(to, ": "...)
+		to = append(to, line[1]...)
+		to = append(to, "\r\n"...)
+	}
+	switch {
+	case bodiless(v.Status):
+	case v.Chunked:
+		to = append(to, "Transfer-Encoding: chunked\r\n"...)
+	default:
+		to = append(to, "Content-Length: "...)
+		to = strconv.AppendInt(to, v.Length, 10)
+		to = append(to, "\r\n"...)
+	}
+	if v.Close {
+		to = append(to, "Connection: close\r\n"...)
+	} else if old {
+		to = append(to, "Connection: keep-alive\r\n"...)
+	}
+	return append(to, "\r\n"...)
+}
+
+// Write sends the answer. Where whole is false the stream must be broken off,
+// so that the answer cannot look complete.
+func (v Verdict) Write(to io.Writer, buffer []byte, old bool) (kept []byte, whole bool) {
+	buffer = v.head(buffer[:0], old)
+	silent := v.NoBody || bodiless(v.Status)
+	if v.Rest == nil {
+		if !silent {
+			buffer = append(buffer, v.Body...)
+		}
+		_, err := to.Write(buffer)
+		return buffer, err == nil
+	}
+	whole = v.writeRest(to, buffer)
+	if v.Finish != nil {
+		v.Finish(whole)
+	}
+	return buffer, whole
+}
+
+func (v Verdict) writeRest(to io.Writer, head []byte) (whole bool) {
+	if _, err := to.Write(head); err != nil {
+		return false
+	}
+	chunk := make([]byte, 32<<10)
+	put := func(part []byte) (err error) {
+		if v.Chunked && len(part) > 0 {
+			if _, err = to.Write([]byte(strconv.FormatInt(int64(len(part)), 16) + "\r\n")); err != nil {
+				return err
+			}
+			part = append(part[:len(part):len(part)], "\r\n"...)
+		}
+		_, err = to.Write(part)
+		return err
+	}
+	if put(v.Body) != nil {
+		return false
+	}
+	sent := int64(len(v.Body))
+	for {
+		size, readErr := v.Rest.Read(chunk)
+		if size > 0 {
+			if put(chunk[:size]) != nil {
+				return false
+			}
+			sent += int64(size)
+		}
+		if readErr == io.EOF {
+			break
+		}
+		if readErr != nil {
+			return false
+		}
+	}
+	if v.Chunked {
+		_, err := io.WriteString(to, "0\r\n\r\n")
+		return err == nil
+	}
+	return sent == v.Length
+}
--- /dev/null
+++ b/internal/passage/world.go
@@ -0,0 +1,298 @@
+// World is what this daemon knows: the configuration, the backends by service,
+// the evacuated sites, the fellows and its leases. News and the daemon's own
+// reading change it in one place; requests read an unchanging scene of it.
+package passage
+
+import (
+	"math/rand"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tinpin/internal/allot"
+	"tinpin/internal/canon"
+	"tinpin/internal/events"
+	"tinpin/internal/parley"
+	"tinpin/internal/props"
+	"tinpin/internal/vigil"
+)
+
+// Scene is one state of the world, read-only but for the servers' own marks.
+type Scene struct {
+	View     *canon.View
+	Services map[parley.ServiceName][]*Server
+	Evacuate map[parley.SiteName]bool
+	Fellows  map[parley.FellowID]parley.Fellow
+	Started  bool
+	Listed   bool
+	Rev      uint64
+}
+
+// World keeps it.
+type World struct {
+	props props.Props
+	log   *events.Log
+	clock Clock
+
+	mu       sync.Mutex
+	canon    *canon.Canon
+	rev      uint64
+	term     parley.Term
+	epoch    parley.Epoch
+	servers  map[parley.ServerID]*Server
+	evac     map[parley.SiteName]parley.Evacuation
+	fellows  map[parley.FellowID]parley.Fellow
+	cores    map[string]bool
+	watch    *vigil.Watch
+	listed   bool
+	listTerm parley.Term
+	viewed   *canon.View
+	shares   *allot.Shares
+	scene    atomic.Pointer[Scene]
+	sharesMu sync.Mutex
+}
+
+// NewWorld knows nothing yet.
+func NewWorld(p props.Props, log *events.Log, clock Clock) (world *World) {
+	world = &World{
+		props: p, log: log, clock: clock, canon: canon.New(), servers: map[parley.ServerID]*Server{},
+		evac: map[parley.SiteName]parley.Evacuation{}, fellows: map[parley.FellowID]parley.Fellow{}, cores: map[string]bool{},
+		watch:  vigil.NewWatch(parley.FellowID(p.Name), p.SendInterval, clock.Now()),
+		shares: allot.NewShares(),
+	}
+	world.viewed = world.canon.View()
+	world.refresh()
+	return world
+}
+
+// Scene gives the newest state.
+func (w *World) Scene() (scene *Scene) { return w.scene.Load() }
+
+// Share is what may be used of a leased bound now.
+func (w *World) Share(kind parley.LeaseKind, key string) (amount float64) {
+	w.sharesMu.Lock()
+	defer w.sharesMu.Unlock()
+	return w.shares.Amount(w.clock.Now(), allot.Key{Kind: kind, Name: key})
+}
+
+// Seen is what a beat names.
+func (w *World) Seen() (term parley.Term, epoch parley.Epoch, rev uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.term, w.epoch, w.rev
+}
+
+// Take takes the news that was asked for at a time.
+func (w *World) Take(asked time.Duration, news *parley.News) {
+	w.sharesMu.Lock()
+	for _, lease := range news.Leases {
+		w.shares.Take(asked, lease)
+	}
+	w.sharesMu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	if news.Term < w.term {
+		return
+	}
+	changed := news.Full || len(news.Servers) > 0 || len(news.Fellows) > 0 || len(news.Items) > 0 || len(news.Evacuations) > 0
+	for _, core := range news.Cores {
+		w.cores[core.Inner] = true
+	}
+	if news.Full {
+		w.fellows = map[parley.FellowID]parley.Fellow{}
+	}
+	w.term, w.epoch = news.Term, news.Epoch
+	back := map[parley.SiteName]bool{}
+	for _, evacuation := range news.Evacuations {
+		if old := w.evac[evacuation.Site]; old.Rev < evacuation.Rev {
+			w.evac[evacuation.Site] = evacuation
+			back[evacuation.Site] = old.Active && !evacuation.Active
+		}
+	}
+	for _, item := range news.Items {
+		if err := w.canon.Put(item); err != nil {
+			w.log.Say(events.PropsRefused, "item", item.Name, "problem", err.Error())
+		}
+	}
+	if news.Rev > w.rev {
+		w.rev = news.Rev
+		w.log.Say(events.ChangeApplied, "rev", w.rev, "items", len(news.Items))
+	}
+	if len(news.Items) > 0 {
+		w.viewed = w.canon.View()
+		names := make([]parley.ServiceName, 0, len(w.viewed.Services))
+		for name := range w.viewed.Services {
+			names = append(names, parley.ServiceName(name))
+		}
+		w.watch.Services(names)
+		w.watch.Settle(now)
+	}
+	if news.Listed {
+		w.list(now, news.Servers, w.listTerm != news.Term)
+		w.listTerm = news.Term
+		if !w.listed {
+			changed = true
+		}
+		w.listed = true
+	}
+	for site, returned := range back {
+		if !returned {
+			continue
+		}
+		for _, server := range w.servers {
+			if server.Site == site {
+				if service := w.viewed.Services[string(server.Service)]; service != nil {
+					server.chill(now, service.Cold)
+				}
+			}
+		}
+	}
+	for _, state := range news.States {
+		if server := w.servers[state.Server]; server != nil && !state.Gone {
+			server.note(now, nil, &state)
+		}
+	}
+	for _, change := range news.Fellows {
+		if change.Gone {
+			delete(w.fellows, change.ID)
+		} else {
+			w.fellows[change.ID] = change.Fellow
+		}
+	}
+	if news.Map != nil {
+		w.watch.Map(now, *news.Map)
+	}
+	w.watch.Absent(news.Absent)
+	w.watch.Led(now, true)
+	if changed {
+		w.refresh()
+	}
+}
+
+// list takes changes of the list; a full telling drops what it does not name.
+func (w *World) list(now time.Duration, changes []parley.ServerChange, full bool) {
+	named := map[parley.ServerID]bool{}
+	for i := range changes {
+		change := &changes[i]
+		named[change.ID] = true
+		server := w.servers[change.ID]
+		if change.Gone {
+			if server != nil {
+				server.sweep(now, true)
+				delete(w.servers, change.ID)
+			}
+			continue
+		}
+		if server == nil {
+			server = newServer(change.Server, parley.RegionName(w.props.Regions[string(change.Site)]))
+			if change.Cold > 0 {
+				server.chill(now, change.Cold)
+			}
+			w.servers[change.ID] = server
+		}
+		server.note(now, &change.Server, nil)
+	}
+	if !full {
+		return
+	}
+	for id, server := range w.servers {
+		if !named[id] {
+			server.sweep(now, true)
+			delete(w.servers, id)
+		}
+	}
+}
+
+// TakeList takes a walk that this daemon made itself for want of a leader.
+func (w *World) TakeList(walk []parley.Server) {
+	changes := make([]parley.ServerChange, len(walk))
+	for i := range walk {
+		changes[i] = parley.ServerChange{Server: walk[i]}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	w.list(now, changes, false)
+	w.listed = true
+	w.refresh()
+}
+
+// refresh builds the scene anew.
+func (w *World) refresh() {
+	scene := &Scene{View: w.viewed, Services: map[parley.ServiceName][]*Server{}, Evacuate: map[parley.SiteName]bool{}, Fellows: map[parley.FellowID]parley.Fellow{}, Listed: w.listed, Rev: w.rev}
+	for _, server := range w.servers {
+		scene.Services[server.Service] = append(scene.Services[server.Service], server)
+	}
+	for _, servers := range scene.Services {
+		sort.Slice(servers, func(i, j int) bool { return servers[i].ID < servers[j].ID })
+	}
+	for site, evacuation := range w.evac {
+		if evacuation.Active {
+			scene.Evacuate[site] = true
+		}
+	}
+	for id, fellow := range w.fellows {
+		scene.Fellows[id] = fellow
+	}
+	scene.Started = !w.canon.Empty()
+	w.scene.Store(scene)
+}
+
+// Sweep closes streams that lay idle too long.
+func (w *World) Sweep() {
+	w.mu.Lock()
+	servers := make([]*Server, 0, len(w.servers))
+	for _, server := range w.servers {
+		servers = append(servers, server)
+	}
+	w.mu.Unlock()
+	now := w.clock.Now()
+	for _, server := range servers {
+		server.sweep(now, false)
+	}
+}
+
+// Known lists the inner addresses of cores this daemon has heard of.
+func (w *World) Known() (inners []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for inner := range w.cores {
+		inners = append(inners, inner)
+	}
+	sort.Strings(inners)
+	rand.Shuffle(len(inners), func(i, j int) { inners[i], inners[j] = inners[j], inners[i] })
+	return inners
+}
+
+// Tick moves the watch on and lists the services to probe.
+func (w *World) Tick(led bool) (duties []parley.ServiceName, term parley.Term, count parley.Epoch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.clock.Now()
+	w.watch.Led(now, led)
+	applied, headless := w.watch.Tick(now)
+	if applied {
+		w.log.Say(events.MapChanged, "count", uint64(w.watch.Applied().Count), "members", len(w.watch.Applied().Members))
+	}
+	if headless {
+		w.log.Say(events.Headless)
+	}
+	shards := w.watch.Applied()
+	return w.watch.Duties(), shards.Term, shards.Count
+}
+
+// Duties lists the services this daemon probes now.
+func (w *World) Duties() (duties []parley.ServiceName) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.watch.Duties()
+}
+
+// Absent lists the fellows the leader does not hear.
+func (w *World) Absent() (absent map[parley.FellowID]bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.watch.AbsentNow()
+}
--- /dev/null
+++ b/internal/vigil/cache.go
@@ -0,0 +1,132 @@
+// Cache is the state cache beside the leader. It takes reports, keeps the
+// newest state of each backend in a ledger so that watchers get each change,
+// and refuses a daemon that the newest map has replaced as owner, except until
+// the successor's first full report. A state whose owner has not finished a
+// round for too long is told as unknown: the source sets no such bound.
+package vigil
+
+import (
+	"time"
+
+	"tinpin/internal/census"
+	"tinpin/internal/parley"
+)
+
+type watched struct {
+	by    parley.FellowID
+	fresh time.Duration
+	full  bool
+}
+
+// Cache is the leader's collection of states.
+type Cache struct {
+	States *census.Ledger[parley.ServerID, parley.State]
+	until  map[parley.ServerID]time.Duration
+	of     map[parley.ServerID]parley.ServiceName
+	owners map[parley.ServiceName]*watched
+	ring   *Ring
+	age    time.Duration
+}
+
+// NewCache is an empty cache; states older than age are unknown.
+func NewCache(clock *census.Clock, age time.Duration) (cache *Cache) {
+	return &Cache{
+		States: census.NewLedger[parley.ServerID, parley.State](clock), until: map[parley.ServerID]time.Duration{},
+		of: map[parley.ServerID]parley.ServiceName{}, owners: map[parley.ServiceName]*watched{}, ring: NewRing(nil), age: age,
+	}
+}
+
+// Shards takes the newest map.
+func (c *Cache) Shards(shards parley.ShardMap) { c.ring = NewRing(shards.Members) }
+
+// Report takes an owner's findings; absent are the fellows not heard.
+func (c *Cache) Report(now time.Duration, report parley.ReportAsk, absent map[parley.FellowID]bool) (taken, changed bool) {
+	rightful := c.ring.Owner(report.Service, absent)
+	held := c.owners[report.Service]
+	if held == nil {
+		held = &watched{}
+		c.owners[report.Service] = held
+	}
+	if report.Fellow != rightful && held.by == rightful && held.full {
+		return false, false
+	}
+	if held.by != report.Fellow {
+		held.by, held.full = report.Fellow, false
+	}
+	held.full = held.full || report.Full
+	held.fresh = now
+	for _, state := range report.States {
+		c.of[state.Server] = report.Service
+		if c.put(now, state) {
+			changed = true
+		}
+	}
+	return true, changed
+}
+
+func (c *Cache) put(now time.Duration, state parley.State) (changed bool) {
+	until := time.Duration(0)
+	if state.Cold > 0 {
+		until = now + state.Cold
+	}
+	old, known := c.States.Get(state.Server)
+	shift := until - c.until[state.Server]
+	if shift < 0 {
+		shift = -shift
+	}
+	if known && old.Health == state.Health && (old.Cold > 0) == (state.Cold > 0) && (state.Cold == 0 || shift < 400*time.Millisecond) {
+		return false
+	}
+	c.until[state.Server] = until
+	return c.States.Set(state.Server, state)
+}
+
+// Suspect marks backends as cold till their owner says otherwise.
+func (c *Cache) Suspect(now time.Duration, server parley.ServerID, service parley.ServiceName, cold time.Duration) {
+	if cold <= 0 {
+		return
+	}
+	old, _ := c.States.Get(server)
+	c.of[server] = service
+	c.put(now, parley.State{Server: server, Health: old.Health, Cold: cold})
+}
+
+// ColdUntil gives the end of a backend's cold spell on the leader's clock.
+func (c *Cache) ColdUntil(server parley.ServerID) (until time.Duration) { return c.until[server] }
+
+// Tick ages the states.
+func (c *Cache) Tick(now time.Duration) (changed bool) {
+	for service, held := range c.owners {
+		if held.fresh < 0 || now-held.fresh <= c.age {
+			continue
+		}
+		held.fresh, held.full = -1, false
+		for server, of := range c.of {
+			if of != service {
+				continue
+			}
+			if old, known := c.States.Get(server); known && old.Health != parley.Unknown {
+				old.Health, old.Cold = parley.Unknown, max(0, c.until[server]-now)
+				if c.States.Set(server, old) {
+					changed = true
+				}
+			}
+		}
+	}
+	return changed
+}
+
+// Drop forgets a backend that is gone.
+func (c *Cache) Drop(server parley.ServerID) {
+	c.States.Drop(server)
+	delete(c.until, server)
+	delete(c.of, server)
+}
+
+// Remaining turns a state's cold spell into what is left of it now.
+func (c *Cache) Remaining(now time.Duration, state parley.State) (left parley.State) {
+	if state.Cold > 0 {
+		state.Cold = max(0, c.until[state.Server]-now)
+	}
+	return state
+}
