--- a/internal/canon/canon.go
+++ b/internal/canon/canon.go
@@ -270,13 +270,7 @@
 	if v.Type() != fastjson.TypeObject {
 		return call, Class.New("the call must be an object")
 	}
-	seen := map[name]bool{}
 	add := func(item Item) (addErr error) {
-		key := name{item.Set, item.Name}
-		if seen[key] {
-			return Class.New("%s %s stands twice in the call", item.Set, item.Name)
-		}
-		seen[key] = true
 		call.items = append(call.items, item)
 		return nil
 	}
@@ -445,6 +439,15 @@
 			stale = append(stale, parsed)
 			continue
 		}
+		// A call may name an item twice, as set and as dropped: the highest
+		// version holds here as elsewhere.
+		if other := fresh[key]; other != nil {
+			if other.Version >= item.Version {
+				stale = append(stale, parsed)
+				continue
+			}
+			stale = append(stale, other)
+		}
 		fresh[key] = parsed
 	}
 	stands := func(key name) (item *standing) {
