Simulate the agreement under trouble; a core with a stalled disk neither stands nor leads

The seeded simulation found a group without a leader: a core whose disk stood still went on standing for election, raised its term in memory and made the others follow it, and a hand-over went to a successor that lacked the newest entries. Such a core no longer stands, a hand-over waits until the successor has the whole log, and wishes wait meanwhile instead of being refused. Four planted faults are found by the same checks.

--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -52,8 +52,9 @@
 }
 
 type syncedNote struct {
-	index Index
-	term  Term
+	orders int
+	index  Index
+	term   Term
 }
 
 // Node is one core.
@@ -310,7 +311,7 @@
 	defer ticker.Stop()
 	for {
 		var wishes <-chan wish
-		if len(n.pending) < maxInFlight || n.raft.Role() != Leader {
+		if len(n.pending) < maxInFlight && n.raft.Open() || n.raft.Role() != Leader {
 			wishes = n.wishes
 		}
 		select {
@@ -323,7 +324,7 @@
 		case first := <-wishes:
 			n.propose(first)
 		case note := <-n.synced:
-			n.carry(n.raft.Synced(note.index, note.term))
+			n.carry(n.raft.Synced(note.orders, note.index, note.term))
 		case tell := <-n.tells:
 			tell()
 		case <-ticker.C:
@@ -644,21 +645,19 @@
 			}
 			time.Sleep(pause)
 		}
-		var note syncedNote
+		note := syncedNote{orders: len(writes)}
 		for _, write := range writes {
 			for _, message := range write.After {
 				n.post(message)
 			}
 			if len(write.Entries) > 0 || write.Snapshot != nil && write.LastTerm != 0 {
-				note = syncedNote{write.Last, write.LastTerm}
+				note.index, note.term = write.Last, write.LastTerm
 			}
 		}
-		if note.index > 0 {
-			select {
-			case n.synced <- note:
-			case <-n.stop:
-				return
-			}
+		select {
+		case n.synced <- note:
+		case <-n.stop:
+			return
 		}
 	}
 }
--- a/internal/accord/raft.go
+++ b/internal/accord/raft.go
@@ -151,6 +151,9 @@
 	lag        int
 	transfer   ID
 	transferAt int
+	issued     uint64
+	done       uint64
+	stuck      int
 	out        Output
 }
 
@@ -291,6 +294,7 @@
 			w.After[i].Term = r.hard.Term
 		}
 	}
+	r.issued++
 	w.Last = r.lastIndex()
 	w.LastTerm = r.termAt(w.Last)
 	r.out.Writes = append(r.out.Writes, w)
@@ -317,8 +321,14 @@
 // Tick moves the steady clock on by one tick.
 func (r *Raft) Tick() (out Output) {
 	r.elapsed++
+	if r.issued > r.done {
+		r.stuck++
+	} else {
+		r.stuck = 0
+	}
 	if r.role != Leader {
-		if r.elapsed >= r.timeout && r.voter(r.id) {
+		// A core whose disk stands still could not win and would only raise terms.
+		if r.elapsed >= r.timeout && r.voter(r.id) && r.stuck < r.pace.Election {
 			r.campaign(true, false)
 		}
 		return r.flush()
@@ -350,6 +360,8 @@
 	if r.transfer != "" {
 		if r.transferAt++; r.transferAt > r.pace.Election {
 			r.transfer = ""
+		} else {
+			r.relieve()
 		}
 	}
 	if r.lag > r.pace.Election && r.transfer == "" {
@@ -383,10 +395,20 @@
 	}
 	if best != "" {
 		r.transfer, r.transferAt = best, 0
-		r.send(Message{Kind: TimeoutNow, To: best})
+		r.relieve()
+	}
+}
+
+// relieve tells the successor to stand once it has the whole log.
+func (r *Raft) relieve() {
+	if p := r.peers[r.transfer]; p != nil && p.match == r.lastIndex() {
+		r.send(Message{Kind: TimeoutNow, To: r.transfer})
 	}
 }
 
+// Open tells whether the leader takes proposals now, or hands over.
+func (r *Raft) Open() bool { return r.role == Leader && r.transfer == "" }
+
 // Resign hands the leadership over and returns what to send.
 func (r *Raft) Resign() (out Output) {
 	r.HandOver()
@@ -462,7 +484,7 @@
 
 // Propose puts data into the log; it fails on any but the leader.
 func (r *Raft) Propose(data []byte) (index Index, term Term, accepted bool, out Output) {
-	if r.role != Leader || r.transfer != "" && r.lag == 0 {
+	if !r.Open() {
 		return 0, 0, false, Output{}
 	}
 	index = r.push(Entry{Data: data})
@@ -549,8 +571,10 @@
 	}
 }
 
-// Synced reports that the disk holds the log up to index of that term.
-func (r *Raft) Synced(index Index, term Term) (out Output) {
+// Synced reports that the disk has carried out so many orders and holds the
+// log up to index of that term.
+func (r *Raft) Synced(orders int, index Index, term Term) (out Output) {
+	r.done += uint64(orders)
 	if index > r.synced && r.termAt(index) == term {
 		r.synced = index
 	}
@@ -571,6 +595,7 @@
 	snapshot = Snapshot{Index: index, Term: r.termAt(index), Members: members, Data: data}
 	r.log = append([]Entry(nil), r.log[index-r.base.Index:]...)
 	r.base = snapshot
+	r.issued++
 	return snapshot, true
 }
 
@@ -767,6 +792,9 @@
 	}
 	if m.Index > p.match {
 		p.match = m.Index
+		if m.From == r.transfer {
+			r.relieve()
+		}
 	}
 	if p.next <= p.match {
 		p.next = p.match + 1
--- /dev/null
+++ b/internal/accord/sim_test.go
@@ -0,0 +1,636 @@
+// The simulation drives the real agreement and the real state of several cores
+// under a seeded clock, network and disks: crashes, loss of power, wiped disks,
+// stalls, cuts both ways and one way, lost and doubled messages, members
+// coming and going. The same seed gives the same verdict. After each step it
+// checks that there is one leader a term and that cores agree on what is
+// committed; at the end, healed, that nothing acknowledged is lost, that each
+// key was granted once, and that the group still works. Planted faults prove
+// that the checks can fail.
+package accord
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand"
+	"sort"
+	"testing"
+	"time"
+)
+
+type planted struct {
+	ackEarly   bool // the disk says synced before it is
+	loseVotes  bool // the hard state never reaches the disk
+	keepID     bool // a wiped core comes back under its old id, as a voter
+	loneCommit bool // the leader answers what it has only proposed
+}
+
+type simDisk struct {
+	id      ID
+	hard    Hard
+	base    Snapshot
+	log     map[Index]Entry
+	queue   []simWrite
+	stalled int
+}
+
+type simWrite struct {
+	write Write
+	due   int
+}
+
+type simCore struct {
+	member  Member
+	up      bool
+	raft    *Raft
+	state   *State
+	disk    *simDisk
+	pending map[Index]simPending
+	waiting map[ID]Member
+	ticks   int
+}
+
+type simPending struct {
+	term    Term
+	command Command
+}
+
+type simMail struct {
+	message Message
+	due     int
+	to      string
+}
+
+type sim struct {
+	luck    *rand.Rand
+	fault   planted
+	cores   map[string]*simCore
+	order   []string
+	mail    []simMail
+	now     int
+	cut     map[[2]string]bool
+	leaders map[Term]ID
+	agreed  map[Index]string
+	granted map[string]string
+	acked   map[string]Claim
+	lives   int
+	next    int
+	broken  string
+}
+
+func newSim(seed int64, cores int, fault planted) (s *sim) {
+	s = &sim{
+		luck: rand.New(rand.NewSource(seed)), fault: fault, cores: map[string]*simCore{}, cut: map[[2]string]bool{},
+		leaders: map[Term]ID{}, agreed: map[Index]string{}, granted: map[string]string{}, acked: map[string]Claim{},
+	}
+	var founders []Member
+	for i := 0; i < cores; i++ {
+		host := fmt.Sprintf("core-%d", i)
+		s.order = append(s.order, host)
+		member := Member{ID: ID("founder-" + host), Inner: host}
+		if i < 3 {
+			member.Voter = true
+			founders = append(founders, member)
+		}
+		s.cores[host] = &simCore{member: member, disk: &simDisk{id: member.ID, log: map[Index]Entry{}}}
+	}
+	base := Snapshot{Index: 1, Term: 1, Members: founders}
+	for i, host := range s.order {
+		if i < 3 {
+			s.cores[host].disk.base = base
+		}
+		s.start(host)
+	}
+	return s
+}
+
+func (s *sim) fail(format string, args ...any) {
+	if s.broken == "" {
+		s.broken = fmt.Sprintf("at tick %d: ", s.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (s *sim) clock() time.Duration { return time.Duration(s.now) * tickSpan }
+
+func (s *sim) start(host string) {
+	core := s.cores[host]
+	disk := core.disk
+	var log []Entry
+	term := disk.base.Term
+	for index := disk.base.Index + 1; ; index++ {
+		entry, known := disk.log[index]
+		if !known || entry.Term < term {
+			break
+		}
+		log, term = append(log, entry), entry.Term
+	}
+	core.member.ID = disk.id
+	core.raft = NewRaft(disk.id, Pace{beatTicks, electTicks}, rand.New(rand.NewSource(s.luck.Int63())), disk.hard, disk.base, log)
+	state, err := Thaw(disk.base.Data, s.clock())
+	if err != nil {
+		s.fail("thaw: %v", err)
+		return
+	}
+	core.state, core.pending, core.waiting, core.up = state, map[Index]simPending{}, map[ID]Member{}, true
+	disk.stalled = 0
+}
+
+// crash ends a process; its queued writes reach the disk or not, in order.
+func (s *sim) crash(host string, power bool) {
+	core := s.cores[host]
+	if !core.up {
+		return
+	}
+	core.up = false
+	kept := len(core.disk.queue)
+	if power {
+		kept = s.luck.Intn(kept + 1)
+	}
+	for _, queued := range core.disk.queue[:kept] {
+		if !s.fault.ackEarly {
+			core.disk.carry(queued.write, s.fault)
+		}
+	}
+	core.disk.queue = nil
+}
+
+func (s *sim) wipe(host string) {
+	core := s.cores[host]
+	s.lives++
+	old := core.disk.id
+	core.disk = &simDisk{id: ID(fmt.Sprintf("%s-%d", host, s.lives)), log: map[Index]Entry{}}
+	if s.fault.keepID {
+		core.disk.id = old
+		core.disk.base = Snapshot{Index: 1, Term: 1}
+		for _, founder := range s.order[:3] {
+			core.disk.base.Members = append(core.disk.base.Members, Member{ID: ID("founder-" + founder), Inner: founder, Voter: true})
+		}
+	}
+}
+
+func (d *simDisk) carry(write Write, fault planted) {
+	if write.Hard != nil && !fault.loseVotes {
+		d.hard = *write.Hard
+	}
+	if write.Snapshot != nil {
+		d.base = *write.Snapshot
+		for index := range d.log {
+			if index <= write.Snapshot.Index || write.Last <= write.Snapshot.Index {
+				delete(d.log, index)
+			}
+		}
+	}
+	for _, entry := range write.Entries {
+		d.log[entry.Index] = entry
+	}
+}
+
+func (s *sim) carry(host string, out Output) {
+	core := s.cores[host]
+	for _, message := range out.Send {
+		s.post(host, message)
+	}
+	for _, write := range out.Writes {
+		core.disk.queue = append(core.disk.queue, simWrite{write, s.now + s.luck.Intn(2)})
+		if s.fault.ackEarly {
+			s.finish(host, write)
+		}
+	}
+	if out.Restore != nil {
+		state, err := Thaw(out.Restore.Data, s.clock())
+		if err != nil {
+			s.fail("thaw: %v", err)
+			return
+		}
+		core.state = state
+	}
+	for _, entry := range out.Apply {
+		s.apply(host, entry)
+	}
+	if core.raft.Role() == Leader {
+		if other, known := s.leaders[core.raft.Term()]; known && other != core.raft.id {
+			s.fail("two leaders in term %d: %s and %s", core.raft.Term(), other, core.raft.id)
+		}
+		s.leaders[core.raft.Term()] = core.raft.id
+	} else {
+		core.pending = map[Index]simPending{}
+	}
+	if core.raft.Commit()-core.raft.Base() > 60 {
+		if data, err := core.state.Freeze(); err == nil {
+			if snapshot, done := core.raft.Compact(core.raft.Commit(), data); done {
+				core.disk.queue = append(core.disk.queue, simWrite{Write{Snapshot: &snapshot, Last: snapshot.Index + 1}, s.now})
+			}
+		}
+	}
+}
+
+func (s *sim) apply(host string, entry Entry) {
+	core := s.cores[host]
+	hash := fnv.New64a()
+	fmt.Fprintf(hash, "%d %v %s", entry.Term, entry.Members, entry.Data)
+	mark := fmt.Sprint(hash.Sum64())
+	if other, known := s.agreed[entry.Index]; known && other != mark {
+		s.fail("cores disagree on entry %d", entry.Index)
+	}
+	s.agreed[entry.Index] = mark
+	commands, err := Decipher(entry.Data)
+	if err != nil {
+		s.fail("entry %d: %v", entry.Index, err)
+		return
+	}
+	for _, command := range commands {
+		result := core.state.Apply(uint64(entry.Index), command, s.clock())
+		if waiting, known := core.pending[entry.Index]; known && waiting.term == entry.Term && result.Granted {
+			s.acknowledge(waiting.command)
+		}
+	}
+	delete(core.pending, entry.Index)
+}
+
+func (s *sim) acknowledge(command Command) {
+	if other, known := s.granted[command.Key]; known && other != command.Request {
+		s.fail("key %s was granted to %s and to %s", command.Key, other, command.Request)
+	}
+	s.granted[command.Key] = command.Request
+	s.acked[command.Key] = command.Claim
+}
+
+func (s *sim) post(from string, message Message) {
+	if s.luck.Intn(100) < 2 {
+		return
+	}
+	copies := 1
+	if s.luck.Intn(100) < 2 {
+		copies = 2
+	}
+	for ; copies > 0; copies-- {
+		for _, host := range s.order {
+			if s.cores[host].disk.id == message.To && !s.cut[[2]string{from, host}] {
+				s.mail = append(s.mail, simMail{message, s.now + s.luck.Intn(3), host})
+			}
+		}
+	}
+}
+
+func (s *sim) finish(host string, write Write) {
+	core := s.cores[host]
+	for _, message := range write.After {
+		s.post(host, message)
+	}
+	if len(write.Entries) > 0 || write.Snapshot != nil && write.LastTerm != 0 {
+		s.carry(host, core.raft.Synced(1, write.Last, write.LastTerm))
+	} else {
+		s.carry(host, core.raft.Synced(1, 0, 0))
+	}
+}
+
+func (s *sim) step() {
+	s.now++
+	var later []simMail
+	due := s.mail
+	s.mail = nil
+	for _, mail := range due {
+		if mail.due > s.now {
+			later = append(later, mail)
+			continue
+		}
+		if core := s.cores[mail.to]; core.up {
+			s.carry(mail.to, core.raft.Step(mail.message))
+		}
+	}
+	s.mail = append(later, s.mail...)
+	for _, host := range s.order {
+		core := s.cores[host]
+		if !core.up {
+			continue
+		}
+		if core.disk.stalled > 0 {
+			core.disk.stalled--
+		} else {
+			for len(core.disk.queue) > 0 && core.disk.queue[0].due <= s.now {
+				write := core.disk.queue[0].write
+				core.disk.queue = core.disk.queue[1:]
+				core.disk.carry(write, s.fault)
+				if !s.fault.ackEarly {
+					s.finish(host, write)
+				}
+			}
+		}
+		core.ticks++
+		s.carry(host, core.raft.Tick())
+		if core.ticks%5 == 0 {
+			s.keepHouse(host)
+		}
+	}
+}
+
+func (s *sim) keepHouse(host string) {
+	core := s.cores[host]
+	if core.raft.Role() != Leader {
+		if _, member := find(core.raft.Members(), core.disk.id); !member {
+			for _, other := range s.order {
+				leader := s.cores[other]
+				if leader.up && leader.raft.Role() == Leader && !s.cut[[2]string{host, other}] {
+					leader.waiting[core.disk.id] = Member{ID: core.disk.id, Inner: host}
+				}
+			}
+		}
+		return
+	}
+	if !core.raft.Settled() {
+		return
+	}
+	var waiting []Member
+	for _, member := range core.waiting {
+		waiting = append(waiting, member)
+	}
+	sort.Slice(waiting, func(i, j int) bool { return waiting[i].ID < waiting[j].ID })
+	core.waiting = map[ID]Member{}
+	next, change := NextMembers(core.raft.Members(), Member{ID: core.disk.id, Inner: host}, waiting, core.raft.CaughtUp, func(id ID) bool {
+		ticks, known := core.raft.Heard(id)
+		return known && ticks > departTicks
+	})
+	if change {
+		if accepted, out := core.raft.Change(next); accepted {
+			s.carry(host, out)
+		}
+	}
+}
+
+// claim has some client ask each core that thinks it leads.
+func (s *sim) claim() {
+	s.next++
+	key := fmt.Sprintf("k%d", s.next/2)
+	for _, host := range s.order {
+		core := s.cores[host]
+		if !core.up || core.raft.Role() != Leader {
+			continue
+		}
+		command := Command{Kind: CommandClaim, Claim: Claim{Key: key, Request: fmt.Sprintf("r%d-%s", s.next, host), Holder: "edge", Life: 1}}
+		index, term, accepted, out := core.raft.Propose(Inscribe([]Command{command}))
+		if accepted {
+			core.pending[index] = simPending{term, command}
+			if s.fault.loneCommit {
+				s.acknowledge(command)
+			}
+			s.carry(host, out)
+		}
+	}
+}
+
+// settledLeader is the leader that has committed in its term, if any.
+func (s *sim) settledLeader() (core *simCore) {
+	for _, host := range s.order {
+		if c := s.cores[host]; c.up && c.raft.Settled() {
+			if core == nil || c.raft.Term() > core.raft.Term() {
+				core = c
+			}
+		}
+	}
+	return core
+}
+
+// caughtUp tells that every core is up and a member and that there are enough
+// voters, so that one more disk may be lost.
+func (s *sim) caughtUp() bool {
+	leader := s.settledLeader()
+	if leader == nil || leader.raft.voters() < 3 {
+		return false
+	}
+	for _, host := range s.order {
+		core := s.cores[host]
+		if !core.up {
+			return false
+		}
+		if _, member := find(leader.raft.Members(), core.disk.id); !member {
+			return false
+		}
+	}
+	return len(leader.raft.Members()) == len(s.order)
+}
+
+func (s *sim) trouble() {
+	host := s.order[s.luck.Intn(len(s.order))]
+	other := s.order[s.luck.Intn(len(s.order))]
+	switch s.luck.Intn(9) {
+	case 0:
+		s.crash(host, false)
+	case 1:
+		s.crash(host, true)
+	case 2:
+		if s.caughtUp() {
+			s.crash(host, true)
+			s.wipe(host)
+		}
+	case 3:
+		s.cores[host].disk.stalled = 10 + s.luck.Intn(80)
+	case 4:
+		s.cut[[2]string{host, other}] = true
+	case 5:
+		for _, far := range s.order {
+			if far != host {
+				s.cut[[2]string{host, far}], s.cut[[2]string{far, host}] = true, true
+			}
+		}
+	case 6:
+		if leader := s.settledLeader(); leader != nil {
+			s.crash(leader.member.Inner, true)
+		}
+	case 7:
+		for _, each := range s.order {
+			s.crash(each, true)
+		}
+	case 8:
+		// The closing fault: right after an acknowledgement one disk goes and
+		// all others lose power.
+		if s.caughtUp() {
+			for _, each := range s.order {
+				s.crash(each, true)
+			}
+			s.wipe(host)
+		}
+	}
+}
+
+func (s *sim) heal() {
+	s.cut = map[[2]string]bool{}
+	for _, host := range s.order {
+		if !s.cores[host].up {
+			s.start(host)
+		}
+	}
+}
+
+// play runs one seed and returns what broke.
+func play(seed int64, cores int, fault planted) (broken string) {
+	s := newSim(seed, cores, fault)
+	for s.now < 2500 && s.broken == "" {
+		s.step()
+		if s.luck.Intn(3) == 0 {
+			s.claim()
+		}
+		if s.now > 60 && s.luck.Intn(40) == 0 {
+			s.trouble()
+		}
+		if s.luck.Intn(120) == 0 {
+			s.heal()
+		}
+		for _, host := range s.order {
+			if !s.cores[host].up && s.luck.Intn(30) == 0 {
+				s.start(host)
+			}
+		}
+	}
+	s.heal()
+	for end := s.now + 1200; s.now < end && s.broken == ""; {
+		s.step()
+	}
+	if s.broken != "" {
+		return s.broken
+	}
+	leader := s.settledLeader()
+	if leader == nil {
+		return "no leader after all is healed"
+	}
+	for _, key := range sortedKeys(s.acked) {
+		if held, known := leader.state.Held(key); !known || held != s.acked[key] {
+			return fmt.Sprintf("acknowledged key %s is lost or another's", key)
+		}
+	}
+	if len(s.acked) == 0 {
+		return "nothing was ever acknowledged"
+	}
+	if leader.raft.voters() < 3 {
+		return fmt.Sprintf("only %d voters after all is healed", leader.raft.voters())
+	}
+	return ""
+}
+
+func sortedKeys[V any](table map[string]V) (keys []string) {
+	for key := range table {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func TestAgreementUnderTrouble(t *testing.T) {
+	for _, cores := range []int{3, 4, 5} {
+		for seed := int64(1); seed <= 25; seed++ {
+			if broken := play(seed, cores, planted{}); broken != "" {
+				t.Errorf("%d cores, seed %d: %s", cores, seed, broken)
+			}
+		}
+	}
+}
+
+func TestSameSeedSameVerdict(t *testing.T) {
+	for seed := int64(1); seed <= 5; seed++ {
+		if first, second := play(seed, 3, planted{ackEarly: true}), play(seed, 3, planted{ackEarly: true}); first != second {
+			t.Fatalf("seed %d: %q, then %q", seed, first, second)
+		}
+	}
+}
+
+func TestPlantedFaultsAreFound(t *testing.T) {
+	for name, fault := range map[string]planted{"ackEarly": {ackEarly: true}, "loseVotes": {loseVotes: true}, "keepID": {keepID: true}, "loneCommit": {loneCommit: true}} {
+		found := false
+		for seed := int64(1); seed <= 60 && !found; seed++ {
+			found = play(seed, 3, fault) != ""
+		}
+		if !found {
+			t.Errorf("%s was not found by any seed", name)
+		}
+	}
+}
+
+func TestStalledDiskDoesNotStallTheGroup(t *testing.T) {
+	s := newSim(7, 3, planted{})
+	for s.settledLeader() == nil {
+		s.step()
+	}
+	leader := s.settledLeader()
+	leader.disk.stalled = 1 << 30
+	before := len(s.acked)
+	for i := 0; i < 150; i++ {
+		s.step()
+		s.claim()
+	}
+	if len(s.acked) < before+40 {
+		t.Fatalf("only %d acknowledgements while the leader's disk stalled", len(s.acked)-before)
+	}
+	if now := s.settledLeader(); now == leader {
+		t.Fatal("the leader with the stalled disk was not relieved")
+	}
+}
+
+func TestWipedFounderComesBackAsLearner(t *testing.T) {
+	s := newSim(3, 3, planted{})
+	for i := 0; i < 100; i++ {
+		s.step()
+		s.claim()
+	}
+	s.crash("core-1", true)
+	s.wipe("core-1")
+	s.start("core-1")
+	if s.cores["core-1"].raft.voter(s.cores["core-1"].disk.id) {
+		t.Fatal("a wiped core votes before it was taken in")
+	}
+	for i := 0; i < 300; i++ {
+		s.step()
+	}
+	if !s.caughtUp() || s.broken != "" {
+		t.Fatalf("a wiped core was not taken back in: %s", s.broken)
+	}
+}
+
+func TestScribe(t *testing.T) {
+	commands := []Command{{Kind: CommandClaim, Claim: Claim{"k", "r", "h", 9}}, {Kind: CommandConfig, Body: []byte("{}")}, {Kind: CommandExpire, Upto: 77}}
+	read, err := Decipher(Inscribe(commands))
+	if err != nil || len(read) != 3 || read[0].Claim != commands[0].Claim || string(read[1].Body) != "{}" || read[2].Upto != 77 {
+		t.Fatalf("read back %v, %v", read, err)
+	}
+	data := Inscribe(commands)
+	for cut := 1; cut < len(data); cut++ {
+		if _, err = Decipher(data[:cut]); err == nil {
+			t.Fatalf("an entry cut at %d was read", cut)
+		}
+	}
+}
+
+func TestStateKeys(t *testing.T) {
+	state := NewState()
+	claim := func(key, request string, at time.Duration) Result {
+		return state.Apply(1, Command{Kind: CommandClaim, Claim: Claim{Key: key, Request: request, Holder: "h", Life: 1}}, at)
+	}
+	if !claim("a", "r1", 0).Granted || claim("a", "r2", time.Second).Granted || !claim("a", "r1", time.Second).Granted {
+		t.Fatal("a key is granted to its first request alone, however often that asks")
+	}
+	state.Apply(2, Command{Kind: CommandFree, Claim: Claim{Key: "a", Request: "r2", Holder: "h", Life: 1}}, 0)
+	if claim("a", "r3", 0).Granted {
+		t.Fatal("only its own holder may free a key")
+	}
+	state.Apply(3, Command{Kind: CommandFree, Claim: Claim{Key: "a", Request: "r1", Holder: "h", Life: 1}}, 0)
+	if !claim("a", "r3", 5*time.Second).Granted {
+		t.Fatal("a freed key can be claimed")
+	}
+	claim("b", "r4", 50*time.Second)
+	if upto := state.Expirable(64*time.Second, 60*time.Second); upto == 0 {
+		t.Fatal("the freed claim is past the window")
+	} else {
+		state.Apply(4, Command{Kind: CommandExpire, Upto: upto}, 0)
+	}
+	if claim("a", "r5", 0).Granted {
+		t.Fatal("the claim of r3 is not yet past the window")
+	}
+	data, err := state.Freeze()
+	if err != nil {
+		t.Fatal(err)
+	}
+	thawed, err := Thaw(data, 100*time.Second)
+	if err != nil || thawed.Claims() != 2 {
+		t.Fatalf("thawed %d claims, %v", thawed.Claims(), err)
+	}
+	if thawed.Expirable(159*time.Second, 60*time.Second) != 0 || thawed.Expirable(161*time.Second, 60*time.Second) == 0 {
+		t.Fatal("after a restart ages count from the restart")
+	}
+}
