--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,57 @@
+package keys
+
+import (
+	"testing"
+	"time"
+
+	"tinpin/internal/parley"
+)
+
+func TestStandings(t *testing.T) {
+	now := time.Duration(0)
+	book := NewBook(time.Minute, 1000, func() time.Duration { return now })
+	op, old := book.Open("k", "r1")
+	if op == nil || old != nil {
+		t.Fatal("a new key opens")
+	}
+	if again, running := book.Open("k", "r2"); again != nil || running.Recall().Standing != parley.Running {
+		t.Fatal("a running key does not open again")
+	}
+	book.Answer(op, 200, [][2]string{{"A", "b"}}, []byte("body"))
+	book.Lose(op)
+	if reply := book.Find("k", "r1"); reply.Standing != parley.Answered || string(reply.Body) != "body" {
+		t.Fatalf("answered once, always answered: %v", reply)
+	}
+	if reply := book.Find("k", "r2"); reply.Standing != parley.Lost {
+		t.Fatal("a request that never held the key is not known")
+	}
+	now = 2 * time.Minute
+	if op, _ = book.Open("k", "r3"); op == nil {
+		t.Fatal("past the window the key opens again")
+	}
+	book.Free(op)
+	if book.Find("k", "r3").Standing != parley.Freed || !book.Freed("k", "r3") {
+		t.Fatal("freed is remembered by request")
+	}
+	if op, _ = book.Open("k", "r4"); op == nil {
+		t.Fatal("a freed key opens again")
+	}
+	if book.Find("k", "r3").Standing != parley.Freed || book.Find("k", "r4").Standing != parley.Running {
+		t.Fatal("the old request stays freed beside the new one")
+	}
+}
+
+func TestRoomIsKept(t *testing.T) {
+	book := NewBook(time.Minute, 1000, func() time.Duration { return 0 })
+	for _, key := range []string{"a", "b", "c", "d"} {
+		op, _ := book.Open(key, key)
+		book.Answer(op, 200, nil, make([]byte, 400))
+	}
+	_, _ = book.Open("e", "e")
+	if book.Find("a", "a").Standing != parley.Lost || book.Find("d", "d").Standing != parley.Answered {
+		t.Fatal("the oldest body goes first, and its operation stays run")
+	}
+	if op, _ := book.Open("a", "again"); op != nil {
+		t.Fatal("an operation whose answer was dropped must not run again")
+	}
+}
--- /dev/null
+++ b/internal/vigil/vigil_test.go
@@ -0,0 +1,196 @@
+package vigil
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tinpin/internal/census"
+	"tinpin/internal/parley"
+)
+
+func members(n int) (ids []parley.FellowID) {
+	for i := 0; i < n; i++ {
+		ids = append(ids, parley.FellowID(fmt.Sprint("edge-", i)))
+	}
+	return ids
+}
+
+// The hash is part of the inner protocol: another version must not change it.
+func TestRingGolden(t *testing.T) {
+	ring := NewRing(members(5))
+	got := ""
+	for i := 0; i < 12; i++ {
+		got += string(ring.Owner(parley.ServiceName(fmt.Sprint("service-", i)), nil)[5:])
+	}
+	if want := "423011220333"; got != want {
+		t.Fatalf("owners %s, want %s", got, want)
+	}
+}
+
+func TestRingMovesOnlyItsShare(t *testing.T) {
+	const services = 4000
+	for n := 2; n <= 12; n++ {
+		before, after := NewRing(members(n)), NewRing(members(n+1))
+		moved := 0
+		loads := map[parley.FellowID]int{}
+		for i := 0; i < services; i++ {
+			name := parley.ServiceName(fmt.Sprint("s", i))
+			was, is := before.Owner(name, nil), after.Owner(name, nil)
+			loads[is]++
+			if was != is {
+				moved++
+				if is != parley.FellowID(fmt.Sprint("edge-", n)) {
+					t.Fatalf("%s moved from %s to %s, not to the new member", name, was, is)
+				}
+			}
+		}
+		if share := float64(moved) / services; share > 2.2/float64(n+1) {
+			t.Errorf("%d members: one more moved %.2f of the services", n, share)
+		}
+		for id, load := range loads {
+			if load > services*5/2/(n+1) {
+				t.Errorf("%d members: %s has %d of %d", n+1, id, load, services)
+			}
+		}
+	}
+}
+
+func watchOf(self string, names ...parley.ServiceName) (watch *Watch) {
+	watch = NewWatch(parley.FellowID(self), 4*time.Second, 0)
+	watch.Services(names)
+	watch.Led(0, true)
+	return watch
+}
+
+func TestNewServicesAreProbedByAllTillTheMapSettles(t *testing.T) {
+	owners := 0
+	for _, id := range members(4) {
+		watch := watchOf(string(id), "s")
+		if !watch.Probes("s") {
+			t.Fatalf("%s does not probe a new service", id)
+		}
+		watch.Map(0, parley.ShardMap{Count: 1, Members: members(4)})
+		if watch.Tick(3 * time.Second); !watch.Probes("s") {
+			t.Fatalf("%s stopped before send_interval", id)
+		}
+		watch.Tick(4 * time.Second)
+		if watch.Probes("s") {
+			owners++
+		}
+	}
+	if owners != 1 {
+		t.Fatalf("%d owners once settled", owners)
+	}
+}
+
+func TestMapChangesWaitAndOnlyTheLastCounts(t *testing.T) {
+	watch := watchOf("edge-0", "s")
+	watch.Map(0, parley.ShardMap{Count: 1, Members: members(3)})
+	watch.Tick(4 * time.Second)
+	before := watch.Owner("s")
+	// A member flaps: away and back within the interval.
+	watch.Map(10*time.Second, parley.ShardMap{Count: 2, Members: members(2)})
+	watch.Tick(12 * time.Second)
+	if watch.Owner("s") != before || watch.Applied().Count != 1 {
+		t.Fatal("a change of the map was acted on at once")
+	}
+	watch.Map(13*time.Second, parley.ShardMap{Count: 3, Members: members(3)})
+	applied, _ := watch.Tick(14 * time.Second)
+	if !applied || watch.Applied().Count != 3 || watch.Owner("s") != before {
+		t.Fatal("after the interval the last map counts, and nothing has moved")
+	}
+}
+
+func TestWithoutALeaderEverythingIsProbed(t *testing.T) {
+	watch := watchOf("edge-0", "a", "b", "c", "d", "e", "f")
+	watch.Map(0, parley.ShardMap{Count: 1, Members: members(3)})
+	watch.Tick(4 * time.Second)
+	mine := len(watch.Duties())
+	watch.Led(10*time.Second, false)
+	if watch.Tick(13900 * time.Millisecond); len(watch.Duties()) != mine {
+		t.Fatal("headless before send_interval")
+	}
+	if watch.Tick(14 * time.Second); len(watch.Duties()) != 6 {
+		t.Fatalf("headless, but only %d of 6 are probed", len(watch.Duties()))
+	}
+	watch.Led(15*time.Second, true)
+	if watch.Tick(15 * time.Second); len(watch.Duties()) != mine {
+		t.Fatal("with a leader back, the map in use counts again")
+	}
+}
+
+func TestAnAbsentOwnerIsStoodInForAtOnce(t *testing.T) {
+	all := members(4)
+	watch := watchOf("edge-0", "s")
+	watch.Map(0, parley.ShardMap{Count: 1, Members: all})
+	watch.Tick(4 * time.Second)
+	owner := watch.Owner("s")
+	watch.Absent([]parley.FellowID{owner})
+	if watch.Owner("s") == owner || watch.Applied().Count != 1 {
+		t.Fatal("the next on the ring stands in, the map stays")
+	}
+	watch.Absent(nil)
+	if watch.Owner("s") != owner {
+		t.Fatal("the owner takes its own again")
+	}
+}
+
+func TestCacheRefusesTheReplacedOwner(t *testing.T) {
+	cache := NewCache(&census.Clock{}, 4*time.Second)
+	cache.Shards(parley.ShardMap{Count: 1, Members: members(2)})
+	rightful := cache.ring.Owner("s", nil)
+	other := parley.FellowID("edge-0")
+	if rightful == other {
+		other = "edge-1"
+	}
+	report := func(by parley.FellowID, full bool, health parley.Health, at time.Duration) bool {
+		taken, _ := cache.Report(at, parley.ReportAsk{Fellow: by, Service: "s", Full: full, States: []parley.State{{Server: "b", Health: health}}}, nil)
+		return taken
+	}
+	if !report(other, true, parley.Up, 0) {
+		t.Fatal("the old owner is heard until the new one has reported in full")
+	}
+	if !report(rightful, true, parley.Down, time.Second) {
+		t.Fatal("the owner is heard")
+	}
+	if report(other, true, parley.Up, time.Second) {
+		t.Fatal("the replaced owner is refused")
+	}
+	if state, _ := cache.States.Get("b"); state.Health != parley.Down {
+		t.Fatal("the owner's finding stands")
+	}
+	if cache.Tick(4 * time.Second); true {
+		if state, _ := cache.States.Get("b"); state.Health != parley.Down {
+			t.Fatal("a state within its age is kept")
+		}
+	}
+	if cache.Tick(6 * time.Second); true {
+		if state, _ := cache.States.Get("b"); state.Health != parley.Unknown {
+			t.Fatal("a state over its age is unknown")
+		}
+	}
+}
+
+func TestWatchersGetOnlyChanges(t *testing.T) {
+	clock := &census.Clock{}
+	cache := NewCache(clock, time.Minute)
+	cache.Shards(parley.ShardMap{Count: 1, Members: members(1)})
+	tell := func(health parley.Health, cold time.Duration, at time.Duration) {
+		cache.Report(at, parley.ReportAsk{Fellow: "edge-0", Service: "s", States: []parley.State{{Server: "b", Health: health, Cold: cold}}}, nil)
+	}
+	tell(parley.Up, 0, 0)
+	seen := clock.Now()
+	tell(parley.Up, 0, time.Second)
+	if clock.Now() != seen {
+		t.Fatal("the same state told again is no change")
+	}
+	tell(parley.Up, 3*time.Second, 2*time.Second)
+	tell(parley.Up, 2*time.Second, 3*time.Second)
+	if clock.Now() != seen+1 {
+		t.Fatal("a cold spell is told once, its shrinking is no change")
+	}
+	if state, _ := cache.States.Get("b"); cache.Remaining(4*time.Second, state).Cold != time.Second {
+		t.Fatal("what is left of a cold spell counts down")
+	}
+}
