--- /dev/null
+++ b/internal/passage/standin_test.go
@@ -0,0 +1,171 @@
+// A stand-in for a backend: it reads requests as the protocol says and answers
+// each by a script, so that tests can bring about what real backends in
+// trouble do.
+package passage
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"tinpin/internal/canon"
+	"tinpin/internal/events"
+	"tinpin/internal/keys"
+	"tinpin/internal/parley"
+	"tinpin/internal/props"
+)
+
+type seen struct {
+	ID, Target, Method, Path, Body, Key string
+	Header                              http.Header
+}
+
+type standIn struct {
+	id       string
+	listener net.Listener
+	script   func(n int, request seen, conn net.Conn) (keep bool)
+	mu       sync.Mutex
+	requests []seen
+	streams  int
+}
+
+func newStandIn(t *testing.T, id string, script func(n int, request seen, conn net.Conn) bool) (s *standIn) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s = &standIn{id: id, listener: listener, script: script}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, acceptErr := listener.Accept()
+			if acceptErr != nil {
+				return
+			}
+			s.mu.Lock()
+			s.streams++
+			s.mu.Unlock()
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *standIn) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		got := seen{ID: request.Header.Get(headRequest), Target: request.Header.Get(headTarget), Method: request.Method, Path: request.RequestURI, Body: string(body), Key: request.Header.Get(headKey), Header: request.Header}
+		s.mu.Lock()
+		s.requests = append(s.requests, got)
+		n := len(s.requests)
+		s.mu.Unlock()
+		if !s.script(n, got, conn) {
+			return
+		}
+	}
+}
+
+func (s *standIn) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.requests)
+}
+
+func (s *standIn) last() seen {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests[len(s.requests)-1]
+}
+
+func answer(status int, id, body string, lines ...string) string {
+	text := fmt.Sprintf("HTTP/1.1 %d X\r\n%s: %s\r\n%s: stamp-%s\r\nContent-Length: %d\r\n", status, headRequest, id, headStamp, id, len(body))
+	for _, line := range lines {
+		text += line + "\r\n"
+	}
+	return text + "\r\n" + body
+}
+
+func good(_ int, request seen, conn net.Conn) bool {
+	_, err := io.WriteString(conn, answer(200, request.ID, "body of "+request.ID))
+	return err == nil
+}
+
+// daemonOf makes a daemon that knows the stand-ins as backends of service s
+// and has three ways: /safe/, /once/ and /key/.
+func daemonOf(t *testing.T, backends ...*standIn) (d *Daemon) {
+	t.Helper()
+	p := props.Props{Name: "edge-1", Site: "here", Region: "land", Regions: map[string]string{"here": "land", "there": "far"}, MemoryMB: 64, Descriptors: 1024, SendInterval: time.Second, ProbeInterval: time.Second}
+	p.Bounds = props.Bounds{RetryRatio: 100, RetryWindow: 10 * time.Second, KeyWindow: time.Minute, TTLMax: 5 * time.Second, Grace: time.Second}
+	clock := NewClock()
+	d = &Daemon{props: p, log: events.Quiet(), clock: clock, life: 1}
+	d.world = NewWorld(p, d.log, clock)
+	d.keys = keys.NewBook(time.Minute, 1<<20, clock.Now)
+	d.link = NewLink(p, d.log, clock, d.world, d.keys, 1, d.fellow)
+	d.budget = NewBudget(p.Bounds.RetryRatio, p.Bounds.RetryWindow, func() float64 { return 0 })
+	d.limits = NewLimits(d.world.Share)
+	d.door = NewDoor(d.Answer, func() *canon.View { return d.world.Scene().View }, 100, 1<<20)
+	config := canon.New()
+	call := `{"upserts":{"routes":{"column_names":["name","hostname","path_prefix","route_type","timeout","target_latency","max_attempts","version","service_name"],"row_values":[
+		["r1","a.example","/safe/","idempotent","900ms","600ms",3,1,"s"],["r2","a.example","/once/","non_idempotent","900ms","600ms",3,1,"s"],["r3","a.example","/key/","keyed","900ms","600ms",3,1,"s"]]},
+		"services":{"column_names":["name","health_check_path","max_connections","version"],"row_values":[["s","/health",100,1]]},
+		"limits":{"max_header_bytes":2000,"max_body_bytes":5000,"header_timeout":"1s","idle_timeout":"2s","version":1}}}`
+	if err := config.Apply([]byte(call), 1); err != nil {
+		t.Fatal(err)
+	}
+	news := &parley.News{Leader: true, Term: 1, Epoch: 1, Full: true, Rev: 1, Items: config.Items(), Listed: true}
+	for _, backend := range backends {
+		news.Servers = append(news.Servers, parley.ServerChange{Server: parley.Server{ID: parley.ServerID(backend.id), Service: "s", Address: backend.listener.Addr().String(), Site: "here", Slots: 4}})
+	}
+	d.world.Take(0, news)
+	return d
+}
+
+// client opens a stream to the daemon's door.
+func client(t *testing.T, d *Daemon) (conn net.Conn, in *bufio.Reader) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go d.door.Serve(listener)
+	conn, err = net.Dial("tcp4", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close(); _ = listener.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	return conn, bufio.NewReader(conn)
+}
+
+func ask(method, path, id string, lines ...string) string {
+	text := method + " " + path + " HTTP/1.1\r\nHost: a.example\r\n" + headRequest + ": " + id + "\r\n" + headDeadline + ": 2500\r\n"
+	for _, line := range lines {
+		text += line + "\r\n"
+	}
+	return text + "\r\n"
+}
+
+func receiveOne(t *testing.T, in *bufio.Reader, method string) (response *http.Response, body string, err error) {
+	t.Helper()
+	response, err = http.ReadResponse(in, &http.Request{Method: method})
+	if err != nil {
+		return nil, "", err
+	}
+	data, err := io.ReadAll(response.Body)
+	return response, string(data), err
+}
