--- a/internal/canon/view.go
+++ b/internal/canon/view.go
@@ -4,7 +4,10 @@
 // way costs one look-up per segment of the path, however many ways there are.
 package canon
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // View is one state of the configuration, read-only.
 type View struct {
@@ -82,3 +85,32 @@
 	}
 	return tenants
 }
+
+// Homes gives the regions that all keyed ways of a host are bound to alike;
+// none where there is no such way or they differ. Ways of other kinds do not
+// matter: they keep no answers.
+func (v *View) Homes(host string) (homes []string) {
+	first := true
+	for _, way := range v.hosts[plainHost(host)] {
+		if way.Repeat != Keyed {
+			continue
+		}
+		if len(way.Homes) == 0 || !first && !alike(homes, way.Homes) {
+			return nil
+		}
+		homes, first = way.Homes, false
+	}
+	return homes
+}
+
+func alike(one, other []string) bool {
+	if len(one) != len(other) {
+		return false
+	}
+	for _, region := range one {
+		if !slices.Contains(other, region) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -19,6 +19,7 @@
 	status       int
 	lines        [][2]string
 	body         []byte
+	inner        string
 	at           time.Duration
 	done         chan struct{}
 }
@@ -35,11 +36,12 @@
 	order []*Operation
 	size  int
 	freed map[[2]string]time.Duration
+	kept  map[[2]string]*Operation
 }
 
 // NewBook keeps operations for window and bodies up to room bytes.
 func NewBook(window time.Duration, room int, now func() time.Duration) (book *Book) {
-	return &Book{window: window, room: room, now: now, held: map[string]*Operation{}, freed: map[[2]string]time.Duration{}}
+	return &Book{window: window, room: room, now: now, held: map[string]*Operation{}, freed: map[[2]string]time.Duration{}, kept: map[[2]string]*Operation{}}
 }
 
 // Open starts an operation, or gives the one that holds the key here.
@@ -69,11 +71,14 @@
 	return h.op.reply()
 }
 
+// Request is the request that holds the key.
+func (h *Held) Request() (request string) { return h.op.Request }
+
 // Done is closed when the operation is no longer running.
 func (h *Held) Done() (done <-chan struct{}) { return h.op.done }
 
 func (o *Operation) reply() (reply parley.RecallReply) {
-	return parley.RecallReply{Standing: o.standing, Status: o.status, Header: o.lines, Body: o.body}
+	return parley.RecallReply{Standing: o.standing, Status: o.status, Header: o.lines, Body: o.body, Inner: o.inner}
 }
 
 // forget drops what is past the window.
@@ -87,6 +92,7 @@
 		}
 		b.size -= len(op.body)
 		op.body = nil
+		delete(b.kept, [2]string{op.Key, op.Request})
 		if now-op.at <= b.window && op.standing == parley.Answered {
 			// Its body is gone for want of room; the operation stays run.
 			op.standing = parley.Lost
@@ -118,6 +124,35 @@
 	b.settle(held, parley.Answered)
 }
 
+// Move notes that the operation was answered and who keeps its answer.
+func (b *Book) Move(held *Held, inner string) {
+	b.mu.Lock()
+	held.op.inner = inner
+	b.mu.Unlock()
+	b.settle(held, parley.Moved)
+}
+
+// Keep stores an answer for a fellow that may not keep it itself.
+func (b *Book) Keep(key, request string, answer parley.RecallReply) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.forget()
+	op := &Operation{Key: key, Request: request, standing: parley.Answered, status: answer.Status, lines: answer.Header, body: answer.Body, at: b.now()}
+	b.kept[[2]string{key, request}] = op
+	b.order = append(b.order, op)
+	b.size += len(op.body)
+}
+
+// Kept gives an answer that is stored for another.
+func (b *Book) Kept(key, request string) (reply parley.RecallReply) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if op := b.kept[[2]string{key, request}]; op != nil {
+		return op.reply()
+	}
+	return reply
+}
+
 // Lose notes that nobody knows whether the operation ran.
 func (b *Book) Lose(held *Held) { b.settle(held, parley.Lost) }
 
--- a/internal/parley/words.go
+++ b/internal/parley/words.go
@@ -210,6 +210,8 @@
 	Running
 	Answered
 	Freed
+	// Moved: it was answered, and the answer is kept at another fellow.
+	Moved
 )
 
 // RecallReply is the stored answer, if there is one.
@@ -218,8 +220,19 @@
 	Status   int
 	Header   [][2]string
 	Body     []byte
+	// Inner is where the answer is kept, if it was moved.
+	Inner string
 }
 
+// KeepAsk hands an answer to a fellow that may keep it.
+type KeepAsk struct {
+	Key, Request string
+	Answer       RecallReply
+}
+
+// KeepReply tells that it is kept.
+type KeepReply struct{ Kept bool }
+
 // ReportAsk brings an owner's findings to the state cache.
 type ReportAsk struct {
 	Fellow  FellowID
--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -12,6 +12,7 @@
 	"tinpin/internal/keys"
 	"tinpin/internal/parley"
 	"tinpin/internal/problem"
+	"tinpin/internal/vigil"
 )
 
 // plan makes the plan of a request, or says why there is none.
@@ -119,7 +120,7 @@
 	request := plan.Request
 	op, old := d.keys.Open(plan.Key, request.ID)
 	if old != nil {
-		return d.recount(old.Recall(), request.ID)
+		return d.recount(d.link.Fetch(old.Recall(), plan.Key, old.Request()), request.ID)
 	}
 	limit := min(900*time.Millisecond, plan.Till-d.clock.Now())
 	for tries := 0; ; tries++ {
@@ -168,14 +169,38 @@
 }
 
 // store keeps the answer of an operation for repeats. Only the homes of a way
-// may store its answers, so elsewhere the operation is known to have run but
-// its answer is not kept.
+// may store its answers; elsewhere the answer is handed to a fellow there.
 func (d *Daemon) store(op *keys.Held, plan *Plan, verdict Verdict) {
-	if verdict.Rest != nil || !allowed(plan.Way.Homes, parley.RegionName(d.props.Region)) {
+	homes := plan.Way.Homes
+	switch {
+	case verdict.Rest != nil:
+		d.keys.Lose(op)
+	case allowed(homes, parley.RegionName(d.props.Region)):
+		d.keys.Answer(op, verdict.Status, verdict.Lines, verdict.Body)
+	default:
+		go d.handOver(op, plan, verdict)
+	}
+}
+
+// handOver lets a fellow within the homes of a way keep an answer.
+func (d *Daemon) handOver(op *keys.Held, plan *Plan, verdict Verdict) {
+	scene, absent := d.world.Scene(), d.world.Absent()
+	var chosenInner string
+	var best uint64
+	for id, fellow := range scene.Fellows {
+		if !fellow.Ready || fellow.Stopping || absent[id] || !allowed(plan.Way.Homes, fellow.Region) {
+			continue
+		}
+		if rank := vigil.Rank(string(id), plan.Key); chosenInner == "" || rank < best {
+			chosenInner, best = fellow.Inner, rank
+		}
+	}
+	answer := parley.RecallReply{Standing: parley.Answered, Status: verdict.Status, Header: verdict.Lines, Body: verdict.Body}
+	if chosenInner == "" || !d.link.Keep(chosenInner, parley.KeepAsk{Key: plan.Key, Request: plan.Request.ID, Answer: answer}) {
 		d.keys.Lose(op)
 		return
 	}
-	d.keys.Answer(op, verdict.Status, verdict.Lines, verdict.Body)
+	d.keys.Move(op, chosenInner)
 }
 
 // recount answers a repeat from what its holder told.
--- a/internal/passage/daemon.go
+++ b/internal/passage/daemon.go
@@ -151,6 +151,19 @@
 	return nil
 }
 
+// Keep stores an answer for a fellow that may not keep it itself.
+func (k *Desk) Keep(ask parley.KeepAsk, reply *parley.KeepReply) (err error) {
+	k.daemon.keys.Keep(ask.Key, ask.Request, ask.Answer)
+	reply.Kept = true
+	return nil
+}
+
+// Kept gives such an answer back.
+func (k *Desk) Kept(ask parley.RecallAsk, reply *parley.RecallReply) (err error) {
+	*reply = k.daemon.keys.Kept(ask.Key, ask.Request)
+	return nil
+}
+
 // Status is this daemon's account of itself.
 type Status struct{ daemon *Daemon }
 
@@ -180,9 +193,9 @@
 }
 
 // resolve tells a client where to go.
-func (d *Daemon) resolve(_ context.Context, _, region, site string) (addresses []string, ttl time.Duration, err error) {
+func (d *Daemon) resolve(_ context.Context, host, region, site string) (addresses []string, ttl time.Duration, err error) {
 	scene := d.world.Scene()
-	addresses = Directions(scene.Fellows, d.world.Absent(), region, site)
+	addresses = Directions(scene.Fellows, d.world.Absent(), scene.View.Homes(host), region, site)
 	if len(addresses) == 0 && d.isReady() {
 		addresses = []string{d.props.Front}
 	}
--- a/internal/passage/directions.go
+++ b/internal/passage/directions.go
@@ -1,6 +1,9 @@
 // Directions are the answers of the directory: the ready daemons nearest to
 // the client, never one that is stopping or not heard, from more than one site
-// where there are any, and some answer while any daemon is known at all.
+// where there are any, and some answer while any daemon is known at all. Where
+// all keyed ways of a host are bound to some regions, clients from elsewhere are sent
+// to daemons of those regions: the request has to go there anyhow, and only
+// there may its answer be kept for a repeat.
 package passage
 
 import (
@@ -16,21 +19,25 @@
 	directionsFew  = 2
 )
 
-// Directions lists front addresses for a client of a site.
-func Directions(fellows map[parley.FellowID]parley.Fellow, absent map[parley.FellowID]bool, region, site string) (addresses []string) {
+// Directions lists front addresses for a client of a site and a host's homes.
+func Directions(fellows map[parley.FellowID]parley.Fellow, absent map[parley.FellowID]bool, homes []string, region, site string) (addresses []string) {
+	away := !allowed(homes, parley.RegionName(region))
+	distance := func(fellow parley.Fellow) (far int) {
+		switch {
+		case away && allowed(homes, fellow.Region) || !away && string(fellow.Site) == site:
+			return 0
+		case string(fellow.Region) == region:
+			return 1
+		}
+		return 2
+	}
 	pick := func(unheard bool) (near [3][]string) {
 		for id, fellow := range fellows {
 			if !fellow.Ready || fellow.Stopping || fellow.Front == "" || absent[id] != unheard {
 				continue
 			}
-			switch {
-			case string(fellow.Site) == site:
-				near[0] = append(near[0], fellow.Front)
-			case string(fellow.Region) == region:
-				near[1] = append(near[1], fellow.Front)
-			default:
-				near[2] = append(near[2], fellow.Front)
-			}
+			far := distance(fellow)
+			near[far] = append(near[far], fellow.Front)
 		}
 		for i := range near {
 			sort.Strings(near[i])
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -275,7 +275,25 @@
 	if err := l.caller(found.Inner).Call("Fellow.Recall", ask, &reply, 600*time.Millisecond); err != nil {
 		return parley.RecallReply{Standing: parley.Lost}
 	}
-	return reply
+	return l.Fetch(reply, key, found.Request)
+}
+
+// Fetch gets an answer that was moved from the fellow that keeps it.
+func (l *Link) Fetch(reply parley.RecallReply, key, request string) (fetched parley.RecallReply) {
+	if reply.Standing != parley.Moved {
+		return reply
+	}
+	if err := l.caller(reply.Inner).Call("Fellow.Kept", parley.RecallAsk{Key: key, Request: request}, &fetched, 600*time.Millisecond); err != nil {
+		return parley.RecallReply{Standing: parley.Lost}
+	}
+	return fetched
+}
+
+// Keep hands an answer to a fellow that may keep it.
+func (l *Link) Keep(inner string, ask parley.KeepAsk) (kept bool) {
+	var reply parley.KeepReply
+	err := l.caller(inner).Call("Fellow.Keep", ask, &reply, time.Second)
+	return err == nil && reply.Kept
 }
 
 // Report brings an owner's findings to the state cache.
--- a/internal/passage/passage_test.go
+++ b/internal/passage/passage_test.go
@@ -358,13 +358,14 @@
 	add("a4", "a", "north", false, false)
 	add("b1", "b", "north", true, false)
 	add("c1", "c", "south", true, false)
+	var homes []string
 	check := func(region, site, want string, absent ...parley.FellowID) {
 		t.Helper()
 		away := map[parley.FellowID]bool{}
 		for _, id := range absent {
 			away[id] = true
 		}
-		if got := strings.Join(Directions(fellows, away, region, site), " "); got != want {
+		if got := strings.Join(Directions(fellows, away, homes, region, site), " "); got != want {
 			t.Errorf("%s %s: %q, want %q", region, site, got, want)
 		}
 	}
@@ -373,6 +374,11 @@
 	check("south", "c", "c1 a1 a2 b1")
 	check("north", "a", "a2 b1", "a1")
 	check("north", "a", "a1 a2", "a1", "a2", "b1", "c1")
+	homes = []string{"south"}
+	check("south", "c", "c1 a1 a2 b1")
+	check("north", "a", "c1 a1 a2 b1")
+	homes = []string{"north"}
+	check("south", "c", "a1 a2 b1")
 }
 
 func TestTokensDoNotComeFromMovedShares(t *testing.T) {
--- a/internal/vigil/ring.go
+++ b/internal/vigil/ring.go
@@ -68,3 +68,6 @@
 	}
 	return ""
 }
+
+// Rank orders members for a key, for choices that need no ring.
+func Rank(member, key string) (rank uint64) { return spot(member+"\x00"+key, 0) }
