--- a/internal/canon/view.go
+++ b/internal/canon/view.go
@@ -86,19 +86,18 @@
 	return tenants
 }
 
-// Homes gives the regions that all keyed ways of a host are bound to alike;
-// none where there is no such way or they differ. Ways of other kinds do not
-// matter: they keep no answers.
+// Homes gives the regions that a host's keyed ways are bound to, none where it
+// has no such way or they are bound to different ones. Other ways do not
+// matter: they keep no answers and may be served from there as well.
 func (v *View) Homes(host string) (homes []string) {
-	first := true
 	for _, way := range v.hosts[plainHost(host)] {
-		if way.Repeat != Keyed {
+		if way.Repeat != Keyed || len(way.Homes) == 0 {
 			continue
 		}
-		if len(way.Homes) == 0 || !first && !alike(homes, way.Homes) {
+		if homes != nil && !alike(homes, way.Homes) {
 			return nil
 		}
-		homes, first = way.Homes, false
+		homes = way.Homes
 	}
 	return homes
 }
--- a/internal/passage/directions.go
+++ b/internal/passage/directions.go
@@ -1,9 +1,9 @@
 // Directions are the answers of the directory: the ready daemons nearest to
 // the client, never one that is stopping or not heard, from more than one site
 // where there are any, and some answer while any daemon is known at all. Where
-// all keyed ways of a host are bound to some regions, clients from elsewhere are sent
-// to daemons of those regions: the request has to go there anyhow, and only
-// there may its answer be kept for a repeat.
+// keyed ways of a host are bound to some regions, clients from elsewhere are
+// sent to daemons of those regions: the requests have to go there anyhow, and
+// only there may their answers be kept for a repeat.
 package passage
 
 import (
