Elect faster, start early, and scout for a new leader when claims go unanswered

Ruled out: the agreement itself (log of events). Ticks are 25 ms, a started core asks early, an unanswered claim sends a scout to the other cores, and a claim is repeated as such, which is the same as once. News that cross are now taken in order (a test holds that).

--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -22,14 +22,14 @@
 )
 
 const (
-	tickSpan     = 40 * time.Millisecond
+	tickSpan     = 25 * time.Millisecond
 	beatTicks    = 2
 	electTicks   = 9
 	maxInFlight  = 3
 	maxWishes    = 2048
 	compactCount = 4000
 	compactBytes = 12 << 20
-	departTicks  = 200
+	departTicks  = 320
 )
 
 // Answer is what became of a wish.
--- a/internal/accord/raft.go
+++ b/internal/accord/raft.go
@@ -163,7 +163,9 @@
 	raft.commit, raft.applied = base.Index, base.Index
 	raft.synced = raft.lastIndex()
 	raft.refreshMembers()
-	raft.resetTimer()
+	// A core that has just started knows of no leader and asks early; where
+	// there is one, the pre-vote fails and harms nothing.
+	raft.timeout = 2 + luck.Intn(pace.Election/2+1)
 	return raft
 }
 
--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -124,7 +124,9 @@
 	}
 	limit := min(900*time.Millisecond, plan.Till-d.clock.Now())
 	for tries := 0; ; tries++ {
-		found := d.link.Claim(parley.KeyClaim{Key: plan.Key, Request: request.ID}, limit)
+		// A new leader may be there in a moment; the wait for one stays inside
+		// the time in which a refusal still lets the client come back in time.
+		found := d.link.Claim(parley.KeyClaim{Key: plan.Key, Request: request.ID}, plan.Way.Aim/4, limit)
 		switch found.Outcome {
 		case parley.Granted:
 		case parley.Held:
--- a/internal/passage/daemon.go
+++ b/internal/passage/daemon.go
@@ -73,6 +73,7 @@
 		}
 		d.offices = append(d.offices, server)
 	}
+	d.link.Taken = d.wake
 	go d.link.Beat()
 	go d.link.Claims()
 	go d.link.Alone()
@@ -97,18 +98,23 @@
 	defer ticker.Stop()
 	for turn := 0; ; turn++ {
 		<-ticker.C
-		if !d.ready.Load() {
-			if scene := d.world.Scene(); scene.Started && scene.Listed {
-				d.ready.Store(true)
-				d.link.Stir()
-			}
-		}
+		d.wake()
 		if turn%4 == 0 {
 			d.world.Sweep()
 		}
 	}
 }
 
+// wake makes the daemon ready once it knows what it needs to carry requests.
+func (d *Daemon) wake() {
+	if d.ready.Load() {
+		return
+	}
+	if scene := d.world.Scene(); scene.Started && scene.Listed && d.ready.CompareAndSwap(false, true) {
+		go d.link.Stir()
+	}
+}
+
 // Renew takes changed settings up.
 func (d *Daemon) Renew(p props.Props) { d.link.SetSeeds(p.Seeds) }
 
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -17,10 +17,15 @@
 
 const (
 	beatHold    = 600 * time.Millisecond
-	beatPatient = 500 * time.Millisecond
+	beatPatient = 300 * time.Millisecond
+	claimCall   = 260 * time.Millisecond
+	scoutCall   = 200 * time.Millisecond
+	scoutPause  = 40 * time.Millisecond
+	scoutSpan   = 2 * time.Second
 	leaderless  = 1300 * time.Millisecond
 	claimRing   = 1024
-	claimCalls  = 6
+	claimCalls  = 16
+	claimPause  = 25 * time.Millisecond
 )
 
 type claimWish struct {
@@ -43,6 +48,10 @@
 	claims chan claimWish
 	calls  chan struct{}
 	stir   chan struct{}
+	scouts atomic.Bool
+
+	// Taken is called when news was taken.
+	Taken func()
 
 	mu      sync.Mutex
 	callers map[string]*parley.Caller
@@ -92,6 +101,51 @@
 	_ = l.caller(inner).Call("Forum.Beat", parley.BeatAsk{Fellow: fellow, Term: term, Epoch: epoch, Rev: rev}, &news, 300*time.Millisecond)
 }
 
+// candidates lists the cores that may lead.
+func (l *Link) candidates() (inners []string) {
+	seen := map[string]bool{"": true}
+	add := func(inner string) {
+		if !seen[inner] {
+			seen[inner] = true
+			inners = append(inners, inner)
+		}
+	}
+	for _, seed := range *l.seeds.Load() {
+		add(l.props.Accord(seed))
+	}
+	for _, inner := range l.world.Known() {
+		add(inner)
+	}
+	return inners
+}
+
+// beat asks one core for news and takes them if it leads.
+func (l *Link) beat(target string, hold, limit time.Duration) (news *parley.News, err error) {
+	asked := l.clock.Now()
+	term, epoch, rev := l.world.Seen()
+	ask := parley.BeatAsk{Fellow: l.self(), Term: term, Epoch: epoch, Rev: rev, Hold: hold}
+	news = new(parley.News)
+	if err = l.caller(target).Call("Forum.Beat", ask, news, limit); err != nil {
+		return nil, err
+	}
+	if !news.Leader {
+		l.world.Learn(news.Cores)
+		return news, nil
+	}
+	if current, _, _ := l.world.Seen(); news.Term < current {
+		news.Leader = false
+		return news, nil
+	}
+	if old := *l.leader.Load(); !l.Led() || old != target {
+		l.log.Say(events.LeaderFound, "leader", target, "term", uint64(news.Term))
+	}
+	l.heard.Store(int64(l.clock.Now()))
+	l.leader.Store(&target)
+	l.world.Take(asked, news)
+	l.Taken()
+	return news, nil
+}
+
 // Beat is the duty that keeps the tie.
 func (l *Link) Beat() {
 	next := 0
@@ -100,20 +154,7 @@
 		target := hint
 		hint = ""
 		if target == "" {
-			var all []string
-			seen := map[string]bool{}
-			for _, seed := range *l.seeds.Load() {
-				if inner := l.props.Accord(seed); inner != "" && !seen[inner] {
-					seen[inner] = true
-					all = append(all, inner)
-				}
-			}
-			for _, inner := range l.world.Known() {
-				if !seen[inner] {
-					seen[inner] = true
-					all = append(all, inner)
-				}
-			}
+			all := l.candidates()
 			if len(all) == 0 {
 				time.Sleep(100 * time.Millisecond)
 				continue
@@ -121,32 +162,60 @@
 			target = all[next%len(all)]
 			next++
 		}
-		asked := l.clock.Now()
-		term, epoch, rev := l.world.Seen()
-		ask := parley.BeatAsk{Fellow: l.self(), Term: term, Epoch: epoch, Rev: rev, Hold: beatHold}
+		hold := beatHold
 		if !l.Led() {
-			ask.Hold = 0
-		}
-		news := new(parley.News)
-		if err := l.caller(target).Call("Forum.Beat", ask, news, ask.Hold+beatPatient); err != nil {
-			time.Sleep(20 * time.Millisecond)
-			continue
+			hold = 0
 		}
-		if !news.Leader {
-			if news.Hint != "" && news.Hint != target {
+		news, err := l.beat(target, hold, hold+beatPatient)
+		switch {
+		case err != nil:
+			// The scout may have found another leader meanwhile.
+			if leader := *l.leader.Load(); leader != target && l.Led() {
+				hint = leader
+			} else {
+				time.Sleep(20 * time.Millisecond)
+			}
+		case news.Leader:
+			hint = target
+		default:
+			if news.Hint != target {
 				hint = news.Hint
 			}
-			l.world.Take(asked, &parley.News{Cores: news.Cores, Term: term, Epoch: epoch})
 			time.Sleep(30 * time.Millisecond)
-			continue
 		}
-		if !l.Led() {
-			l.log.Say(events.LeaderFound, "leader", target, "term", uint64(news.Term))
+	}
+}
+
+// scout looks for a new leader beside the beat, which may be held open by one
+// that is gone without a word. It ends when the old one is heard again.
+func (l *Link) scout() {
+	if !l.scouts.CompareAndSwap(false, true) {
+		return
+	}
+	defer l.scouts.Store(false)
+	old := *l.leader.Load()
+	begun := l.clock.Now()
+	term, _, _ := l.world.Seen()
+	for l.clock.Now()-begun < scoutSpan {
+		if time.Duration(l.heard.Load()) > begun {
+			return
 		}
-		l.heard.Store(int64(l.clock.Now()))
-		l.leader.Store(&target)
-		l.world.Take(asked, news)
-		hint = target
+		var asked sync.WaitGroup
+		for _, inner := range l.candidates() {
+			if inner == old {
+				continue
+			}
+			asked.Add(1)
+			go func() {
+				defer asked.Done()
+				news, err := l.beat(inner, 0, scoutCall)
+				if err == nil && news.Leader && news.Term > term {
+					l.caller(old).Close()
+				}
+			}()
+		}
+		asked.Wait()
+		time.Sleep(scoutPause)
 	}
 }
 
@@ -172,8 +241,34 @@
 	}
 }
 
-// Claim asks the cores for a key.
-func (l *Link) Claim(claim parley.KeyClaim, limit time.Duration) (found parley.ClaimFound) {
+// Claim asks the cores for a key, again where a try had no clear outcome: to
+// claim twice for one request is the same as once. It waits for a leader no
+// longer than patience.
+func (l *Link) Claim(claim parley.KeyClaim, patience, limit time.Duration) (found parley.ClaimFound) {
+	begun := l.clock.Now()
+	unclear := false
+	for {
+		found = l.claim(claim, min(claimCall, limit-(l.clock.Now()-begun)))
+		switch found.Outcome {
+		case parley.Granted, parley.Held:
+			return found
+		case parley.Unclear:
+			unclear = true
+		}
+		go l.scout()
+		spent := l.clock.Now() - begun
+		if spent+claimPause > limit || !unclear && spent+claimPause > patience {
+			break
+		}
+		time.Sleep(claimPause)
+	}
+	if unclear {
+		found.Outcome = parley.Unclear
+	}
+	return found
+}
+
+func (l *Link) claim(claim parley.KeyClaim, limit time.Duration) (found parley.ClaimFound) {
 	if limit <= 0 || !l.Led() {
 		return parley.ClaimFound{Outcome: parley.Refused}
 	}
@@ -239,7 +334,7 @@
 		ask.Claims = append(ask.Claims, wish.claim)
 	}
 	var reply parley.ClaimReply
-	err := l.caller(*l.leader.Load()).Call("Forum.Claim", ask, &reply, 900*time.Millisecond)
+	err := l.caller(*l.leader.Load()).Call("Forum.Claim", ask, &reply, 2*claimCall)
 	refused := err != nil && parley.Unsent.Has(err) || err == nil && !reply.Leader
 	for i, wish := range batch {
 		found := parley.ClaimFound{}
--- a/internal/passage/passage_test.go
+++ b/internal/passage/passage_test.go
@@ -403,3 +403,20 @@
 		t.Fatalf("%d admitted in 10 s at 10 a second", admitted)
 	}
 }
+
+// Beats may cross: what was told earlier must not undo what was told later.
+func TestOvertakenNewsChangeNothing(t *testing.T) {
+	backend := newStandIn(t, "i-1", good)
+	d := daemonOf(t, backend)
+	server := d.world.servers["i-1"].Server
+	server.Draining = true
+	d.world.Take(0, &parley.News{Leader: true, Term: 3, Epoch: 9, Listed: true, Servers: []parley.ServerChange{{Server: server}}})
+	server.Draining = false
+	for _, old := range []parley.News{{Term: 3, Epoch: 8}, {Term: 2, Epoch: 50, Full: true}} {
+		old.Leader, old.Listed, old.Servers = true, true, []parley.ServerChange{{Server: server}}
+		d.world.Take(0, &old)
+		if !d.world.servers["i-1"].Draining {
+			t.Fatalf("news of term %d, epoch %d undid a later one", old.Term, old.Epoch)
+		}
+	}
+}
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -93,7 +93,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.clock.Now()
-	if news.Term < w.term {
+	// What an older leader, or the same one earlier, told is overtaken.
+	if news.Term < w.term || news.Term == w.term && news.Epoch < w.epoch {
 		return
 	}
 	changed := news.Full || len(news.Servers) > 0 || len(news.Fellows) > 0 || len(news.Items) > 0 || len(news.Evacuations) > 0
@@ -171,6 +172,15 @@
 	}
 }
 
+// Learn notes cores that were heard of.
+func (w *World) Learn(cores []parley.Core) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, core := range cores {
+		w.cores[core.Inner] = true
+	}
+}
+
 // list takes changes of the list; a full telling drops what it does not name.
 func (w *World) list(now time.Duration, changes []parley.ServerChange, full bool) {
 	named := map[parley.ServerID]bool{}
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -55,7 +55,7 @@
 	HeadTooSlow:  {Status: 408, Text: "request not read in time", Close: true},
 	NoBackend:    {Status: 503, Text: "no backend is available", RetryMS: 150},
 	NoRoom:       {Status: 503, Text: "no room at the backends", RetryMS: 100},
-	NoLeader:     {Status: 503, Text: "operation keys cannot be claimed now", RetryMS: 300},
+	NoLeader:     {Status: 503, Text: "operation keys cannot be claimed now", RetryMS: 200},
 	KeyAtWork:    {Status: 409, Text: "this operation is at work", RetryMS: 100},
 	KeyUnknown:   {Status: 503, Text: "an earlier try of this operation has no known outcome; this one was not sent", RetryMS: 500},
 	OverLimit:    {Status: 429, Text: "over the tenant's limit", RetryMS: 200},
