Dial briefly between cores and ask all cores at once when leaderless

Edges now ask all cores at once. Tried and dropped: naming only the client's own site in the directory (no difference).

--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -26,6 +26,7 @@
 	beatTicks    = 2
 	electTicks   = 9
 	maxInFlight  = 3
+	courierDial  = 120 * time.Millisecond
 	maxWishes    = 2048
 	compactCount = 4000
 	compactBytes = 12 << 20
@@ -678,6 +679,7 @@
 		}
 		s = &sender{ring: make(chan Message, 512), caller: parley.NewCaller(inner)}
 		n.senders[message.To] = s
+		s.caller.DialWait = courierDial
 		go n.courier(s)
 	}
 	if s != nil {
--- a/internal/parley/caller.go
+++ b/internal/parley/caller.go
@@ -53,15 +53,18 @@
 // Caller calls one fellow.
 type Caller struct {
 	Address string
-	mu      sync.Mutex
-	client  *rpc.Client
-	heard   atomic.Int64
-	birth   time.Time
+	// DialWait bounds the wait for a stream; a machine without power says
+	// nothing, and what waits behind the dial waits with it.
+	DialWait time.Duration
+	mu       sync.Mutex
+	client   *rpc.Client
+	heard    atomic.Int64
+	birth    time.Time
 }
 
 // NewCaller is a caller that has no stream yet.
 func NewCaller(address string) (caller *Caller) {
-	return &Caller{Address: address, birth: time.Now()}
+	return &Caller{Address: address, DialWait: 400 * time.Millisecond, birth: time.Now()}
 }
 
 func (c *Caller) stream(wait time.Duration) (client *rpc.Client, err error) {
@@ -70,10 +73,7 @@
 	if c.client != nil {
 		return c.client, nil
 	}
-	if wait > 400*time.Millisecond {
-		wait = 400 * time.Millisecond
-	}
-	conn, err := Dial(c.Address, wait, time.Second)
+	conn, err := Dial(c.Address, min(wait, c.DialWait), time.Second)
 	if err != nil {
 		return nil, Unsent.Wrap(err)
 	}
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -148,44 +148,46 @@
 
 // Beat is the duty that keeps the tie.
 func (l *Link) Beat() {
-	next := 0
-	hint := ""
 	for {
-		target := hint
-		hint = ""
-		if target == "" {
-			all := l.candidates()
-			if len(all) == 0 {
-				time.Sleep(100 * time.Millisecond)
-				continue
-			}
-			target = all[next%len(all)]
-			next++
-		}
-		hold := beatHold
-		if !l.Led() {
-			hold = 0
+		target := *l.leader.Load()
+		if target == "" || !l.Led() {
+			l.seek("", 0)
+			continue
 		}
-		news, err := l.beat(target, hold, hold+beatPatient)
-		switch {
-		case err != nil:
+		news, err := l.beat(target, beatHold, beatHold+beatPatient)
+		if err != nil || !news.Leader {
 			// The scout may have found another leader meanwhile.
-			if leader := *l.leader.Load(); leader != target && l.Led() {
-				hint = leader
-			} else {
-				time.Sleep(20 * time.Millisecond)
-			}
-		case news.Leader:
-			hint = target
-		default:
-			if news.Hint != target {
-				hint = news.Hint
+			if leader := *l.leader.Load(); leader == target {
+				l.seek(target, 0)
 			}
-			time.Sleep(30 * time.Millisecond)
 		}
 	}
 }
 
+// seek asks all cores but one at once, until one leads in a later term than
+// given or they have all answered or are overdue.
+func (l *Link) seek(but string, after parley.Term) (found bool) {
+	var asked sync.WaitGroup
+	var leads atomic.Bool
+	for _, inner := range l.candidates() {
+		if inner == but {
+			continue
+		}
+		asked.Add(1)
+		go func() {
+			defer asked.Done()
+			if news, err := l.beat(inner, 0, scoutCall); err == nil && news.Leader && news.Term > after {
+				leads.Store(true)
+			}
+		}()
+	}
+	asked.Wait()
+	if !leads.Load() {
+		time.Sleep(scoutPause)
+	}
+	return leads.Load()
+}
+
 // scout looks for a new leader beside the beat, which may be held open by one
 // that is gone without a word. It ends when the old one is heard again.
 func (l *Link) scout() {
@@ -196,26 +198,11 @@
 	old := *l.leader.Load()
 	begun := l.clock.Now()
 	term, _, _ := l.world.Seen()
-	for l.clock.Now()-begun < scoutSpan {
-		if time.Duration(l.heard.Load()) > begun {
+	for l.clock.Now()-begun < scoutSpan && time.Duration(l.heard.Load()) <= begun {
+		if l.seek(old, term) {
+			l.caller(old).Close()
 			return
 		}
-		var asked sync.WaitGroup
-		for _, inner := range l.candidates() {
-			if inner == old {
-				continue
-			}
-			asked.Add(1)
-			go func() {
-				defer asked.Done()
-				news, err := l.beat(inner, 0, scoutCall)
-				if err == nil && news.Leader && news.Term > term {
-					l.caller(old).Close()
-				}
-			}()
-		}
-		asked.Wait()
-		time.Sleep(scoutPause)
 	}
 }
 
