--- /dev/null
+++ b/cmd/tinpin-local/main.go
@@ -0,0 +1,62 @@
+// The tinpin-local command sets up a system on loopback with stand-ins for
+// backends and platform, serves one request through it and, with -stay, keeps
+// it for a look with the tools.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"tinpin/internal/stage"
+)
+
+func main() {
+	stay := flag.Bool("stay", false, "keep the system running until interrupted")
+	flag.Parse()
+	if err := run(*stay); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "tinpin-local:", err)
+		os.Exit(1)
+	}
+}
+
+func run(stay bool) (err error) {
+	folder, err := os.MkdirTemp("", "tinpin-local-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	system, err := stage.Start(folder, stage.Hosts())
+	if err != nil {
+		return err
+	}
+	defer system.Close()
+	fmt.Println("3 accord and 2 passage daemons started")
+	if _, _, err = system.Operator(ctx, "POST", "/-/Config.Update", stage.FirstCall); err != nil {
+		return err
+	}
+	fmt.Println("configuration acknowledged")
+	if err = system.Ready(ctx); err != nil {
+		return err
+	}
+	status, stamp, body, err := system.Ask(ctx, 0, "GET", "/hello/world", "")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("GET /hello/world -> %d, stamp %s: %s", status, stamp, body)
+	if !stay {
+		return nil
+	}
+	fmt.Printf("\nfront       http://%s (Host: shop.example, a Tinpin-Request-Id each)\noperator    http://%s\ntools       target/tinpin status -at %s\n", system.EdgeProps[0].Front, system.CoreProps[0].Control, strings.Join(system.Inner(), ","))
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	<-interrupted
+	return nil
+}
--- a/cmd/tinpin/main.go
+++ b/cmd/tinpin/main.go
@@ -9,11 +9,13 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
 	"tinpin/internal/council"
 	"tinpin/internal/events"
+	"tinpin/internal/lens"
 	"tinpin/internal/passage"
 	"tinpin/internal/props"
 )
@@ -23,45 +25,61 @@
 
 const usage = `tinpin, a global load balancer
 
-  tinpin passage            carry traffic and answer name queries (edge)
-  tinpin accord             hold configuration and membership (core)
-  tinpin check-props FILE   check a settings file
-  tinpin version            print the version
-  tinpin help               print this
+  tinpin passage                       carry traffic and answer name queries (edge)
+  tinpin accord                        hold configuration and membership (core)
+  tinpin check-props FILE              check a settings file
+  tinpin status [-at ADDR,..] [-json]  how all daemons stand
+  tinpin trace [-at ADDR,..] KIND NAME follow a change through all daemons
+  tinpin trace -logs FILE,.. KIND NAME the same from logs
+  tinpin version                       print the version
+  tinpin help                          print this
 
-The daemons read the settings file that TINPIN_CONFIG names.
+The daemons read the settings file that TINPIN_CONFIG names. The tools ask the
+accord daemons at the inner addresses given by -at, or else those behind the
+seeds of that file. KIND is item (as in item routes/r1), evacuation, backend
+or health. A tool ends with 1 where something is amiss, with 2 for wrong use.
 `
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 // run carries out one command line.
 func run(args []string, out, bad io.Writer) (code int) {
-	set := flag.NewFlagSet("tinpin", flag.ContinueOnError)
-	set.SetOutput(io.Discard)
-	if err := set.Parse(args); err != nil {
-		if err == flag.ErrHelp {
-			_, _ = io.WriteString(out, usage)
-			return 0
-		}
-		_, _ = fmt.Fprintf(bad, "tinpin: %v; see 'tinpin help'\n", err)
+	wrong := func(format string, parts ...any) int {
+		_, _ = fmt.Fprintf(bad, "tinpin: "+format+"; see 'tinpin help'\n", parts...)
 		return 2
 	}
-	words := set.Args()
-	if len(words) == 0 {
-		_, _ = fmt.Fprintln(bad, "tinpin: no command; see 'tinpin help'")
-		return 2
+	if len(args) == 0 {
+		return wrong("no command")
 	}
-	wants := map[string]int{"help": 0, "version": 0, "passage": 0, "accord": 0, "check-props": 1}
-	want, known := wants[words[0]]
+	word, rest := args[0], args[1:]
+	if word == "-h" || word == "--help" || word == "-help" {
+		word = "help"
+	}
+	wants := map[string]int{"help": 0, "version": 0, "passage": 0, "accord": 0, "check-props": 1, "status": 0, "trace": 2}
+	want, known := wants[word]
 	if !known {
-		_, _ = fmt.Fprintf(bad, "tinpin: unknown command %q; see 'tinpin help'\n", words[0])
-		return 2
+		return wrong("unknown command %q", word)
 	}
-	if len(words)-1 != want {
-		_, _ = fmt.Fprintf(bad, "tinpin: %s takes %d argument(s), not %d; see 'tinpin help'\n", words[0], want, len(words)-1)
-		return 2
+	set := flag.NewFlagSet(word, flag.ContinueOnError)
+	set.SetOutput(io.Discard)
+	at, logs, asJSON := new(string), new(string), new(bool)
+	if word == "status" || word == "trace" {
+		set.StringVar(at, "at", "", "")
+	}
+	if word == "status" {
+		set.BoolVar(asJSON, "json", false, "")
+	}
+	if word == "trace" {
+		set.StringVar(logs, "logs", "", "")
+	}
+	if err := set.Parse(rest); err != nil {
+		return wrong("%s: %v", word, err)
 	}
-	switch words[0] {
+	words := set.Args()
+	if len(words) != want {
+		return wrong("%s takes %d argument(s), not %d", word, want, len(words))
+	}
+	switch word {
 	case "help":
 		_, _ = io.WriteString(out, usage)
 		return 0
@@ -69,14 +87,52 @@
 		_, _ = fmt.Fprintln(out, "tinpin", Version)
 		return 0
 	case "check-props":
-		if _, err := props.Load(words[1]); err != nil {
+		if _, err := props.Load(words[0]); err != nil {
 			_, _ = fmt.Fprintln(bad, "tinpin:", err)
 			return 2
 		}
 		_, _ = fmt.Fprintln(out, "settings are good")
 		return 0
+	case "status", "trace":
+		if word == "trace" && !lens.Known(words[0]) {
+			return wrong("trace: unknown kind %q", words[0])
+		}
+		good, err := look(word, words, *at, *logs, *asJSON, out)
+		if err != nil {
+			_, _ = fmt.Fprintln(bad, "tinpin:", err)
+		}
+		if err != nil || !good {
+			return 1
+		}
+		return 0
+	}
+	return serve(word, bad)
+}
+
+// look carries out one of the operator's tools.
+func look(word string, words []string, at, logs string, asJSON bool, out io.Writer) (good bool, err error) {
+	if logs != "" {
+		return true, lens.TraceLogs(out, strings.Split(logs, ","), words[0], words[1])
+	}
+	starts := strings.Split(at, ",")
+	if at == "" {
+		p, loadErr := props.Load(os.Getenv("TINPIN_CONFIG"))
+		if loadErr != nil {
+			return false, loadErr
+		}
+		starts = nil
+		for _, seed := range p.Seeds {
+			starts = append(starts, p.Accord(seed))
+		}
+	}
+	fleet, err := lens.Look(starts)
+	if err != nil {
+		return false, err
+	}
+	if word == "status" {
+		return fleet.Status(out, asJSON)
 	}
-	return serve(words[0], bad)
+	return fleet.Trace(out, words[0], words[1])
 }
 
 type daemon interface {
--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/pebble/vfs"
 
+	"tinpin/internal/chronicle"
 	"tinpin/internal/events"
 	"tinpin/internal/parley"
 	"tinpin/internal/props"
@@ -91,6 +92,9 @@
 	ticks   int
 	heardAt int
 
+	// Chronicle remembers what became of changes here.
+	Chronicle *chronicle.Chronicle
+
 	// OnChange is called after the state changed, OnRole when leadership came or went.
 	OnChange func()
 	OnRole   func(leads bool, term Term)
@@ -122,7 +126,7 @@
 		inbox: make(chan []Message, 256), wishes: make(chan wish, maxWishes), synced: make(chan syncedNote, 256),
 		disk: make(chan []Write, 1024), tells: make(chan func(), 64), stop: make(chan struct{}),
 		book: map[ID]string{}, senders: map[ID]*sender{}, pending: map[Index]pendingEntry{}, joiners: map[ID]joiner{},
-		seeds: p.Seeds, OnChange: func() {}, OnRole: func(bool, Term) {},
+		seeds: p.Seeds, Chronicle: chronicle.New(log), OnChange: func() {}, OnRole: func(bool, Term) {},
 	}
 	inner := p.Inner("accord")
 	if id == "" {
@@ -189,6 +193,17 @@
 	}
 	time.Sleep(50 * time.Millisecond)
 	close(n.stop)
+	// A disk that stands still must not hold the end up.
+	closed := make(chan struct{})
+	go func() {
+		n.stopped.Wait()
+		_ = n.store.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(300 * time.Millisecond):
+	}
 }
 
 // SetSeeds takes changed seeds up.
@@ -422,6 +437,16 @@
 		results[i] = n.state.Apply(uint64(entry.Index), command, now)
 	}
 	changed = n.state.Rev != before
+	if changed {
+		for _, item := range n.state.Canon.Since(before) {
+			n.Chronicle.Note(chronicle.Item, item.Path(), "applied", item.Stamp(), item.Rev, false)
+		}
+		for _, evacuation := range n.state.Evacuations {
+			if evacuation.Rev > before {
+				n.Chronicle.Note(chronicle.Evacuation, evacuation.Site, "applied", evacuation.Stamp(), evacuation.Rev, false)
+			}
+		}
+	}
 	n.mu.Unlock()
 	waiting, known := n.pending[entry.Index]
 	if known {
@@ -434,9 +459,6 @@
 			waiting.wishes[i].done <- answer
 		}
 	}
-	if changed {
-		n.log.Say(events.ChangeApplied, "rev", uint64(entry.Index))
-	}
 	return changed
 }
 
--- a/internal/accord/state.go
+++ b/internal/accord/state.go
@@ -59,6 +59,14 @@
 	Rev    uint64
 }
 
+// Stamp tells the order in a word.
+func (e Evacuation) Stamp() (stamp string) {
+	if e.Active {
+		return "active"
+	}
+	return "withdrawn"
+}
+
 type heldClaim struct {
 	Claim
 	Seq uint64
--- a/internal/allot/lender.go
+++ b/internal/allot/lender.go
@@ -90,6 +90,11 @@
 	return leases
 }
 
+// Lent is the part of a tenant's limit that may be in use.
+func (l *Lender) Lent(now time.Duration, tenant string) (part float64) {
+	return l.shares.Lent(now, Key{parley.TenantShare, tenant}) + l.floors.Lent(now, Key{parley.TenantFloor, tenant})
+}
+
 // Bucket admits a tenant's requests at one daemon under its parts of the
 // limit. A part that grows adds room but no tokens, so tokens never come from
 // nowhere when parts move or a daemon restarts.
--- a/internal/canon/canon.go
+++ b/internal/canon/canon.go
@@ -8,6 +8,7 @@
 import (
 	"math"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,6 +48,33 @@
 	Fields  []Field
 }
 
+// Path names an item with its set, as in routes/r1.
+func (i Item) Path() (path string) {
+	if i.Name == "" {
+		return string(i.Set)
+	}
+	return string(i.Set) + "/" + i.Name
+}
+
+// Stamp is the item's version, with a mark where it was dropped.
+func (i Item) Stamp() (stamp string) {
+	stamp = strconv.FormatUint(uint64(i.Version), 10)
+	if i.Dropped {
+		stamp += " dropped"
+	}
+	return stamp
+}
+
+// Find looks an item up by its path.
+func (c *Canon) Find(path string) (item Item, known bool) {
+	set, named, _ := strings.Cut(path, "/")
+	found := c.items[name{Set(set), named}]
+	if found == nil {
+		return item, false
+	}
+	return found.Item, true
+}
+
 type name struct {
 	set  Set
 	name string
@@ -316,6 +344,14 @@
 	return call, err
 }
 
+// Paths names the items of a call.
+func (c Call) Paths() (paths []string) {
+	for _, item := range c.items {
+		paths = append(paths, item.Path())
+	}
+	return paths
+}
+
 func readObject(value *fastjson.Value, what string, each func(Set, *fastjson.Value) error) (err error) {
 	if value == nil || value.Type() == fastjson.TypeNull {
 		return nil
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -4,11 +4,15 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"tinpin/internal/accord"
+	"tinpin/internal/canon"
+	"tinpin/internal/chronicle"
 	"tinpin/internal/events"
 	"tinpin/internal/forum"
+	"tinpin/internal/herald"
 	"tinpin/internal/office"
 	"tinpin/internal/parley"
 	"tinpin/internal/problem"
@@ -25,6 +29,9 @@
 	log   *events.Log
 	node  *accord.Node
 	desk  *forum.Desk
+
+	inner  *parley.Listener
+	office *http.Server
 }
 
 // Start opens the disk and the listeners and takes up the work.
@@ -48,14 +55,22 @@
 			open.Stir()
 		}
 	}
-	inner, err := parley.Listen(p.Inner("accord"), time.Second)
-	if err != nil {
-		return nil, err
+	if p.EventsTo != "" {
+		// Each change is told once, by the core that leads when it is applied.
+		teller, heraldErr := herald.New(p.EventsTo, p.Name, log)
+		if heraldErr != nil {
+			return nil, heraldErr
+		}
+		node.Chronicle.OnMark = func(mark chronicle.Mark) {
+			if mark.What != "acknowledged" && council.desk.Forum() != nil {
+				teller.Tell(mark)
+			}
+		}
 	}
-	if err = parley.Serve(inner, map[string]any{"Accord": node.Desk(), "Forum": council.desk, "Status": &Status{council}}); err != nil {
+	if council.inner, err = parley.Serve(p.Inner("accord"), map[string]any{"Accord": node.Desk(), "Forum": council.desk, "Status": &Status{council}}); err != nil {
 		return nil, err
 	}
-	if _, err = office.Serve(p.Control, office.Duties{Update: council.update, Describe: council.describe, Evacuate: council.evacuate}); err != nil {
+	if council.office, err = office.Serve(p.Control, office.Duties{Update: council.update, Describe: council.describe, Evacuate: council.evacuate}); err != nil {
 		return nil, err
 	}
 	node.Run()
@@ -66,7 +81,14 @@
 func (c *Council) Renew(p props.Props) { c.node.SetSeeds(p.Seeds) }
 
 // Stop hands leadership over and ends.
-func (c *Council) Stop() { c.node.Close() }
+func (c *Council) Stop() {
+	c.node.Close()
+	_ = c.office.Close()
+	c.inner.Close()
+	if old := c.desk.Use(nil); old != nil {
+		old.Close()
+	}
+}
 
 // elsewhere sends the caller to the leader, or tells that there is none.
 func (c *Council) elsewhere(path string) (err error) {
@@ -100,6 +122,11 @@
 		return &office.Trouble{Kind: problem.BadConfig, Text: result.Problem}
 	}
 	c.log.Say(events.ConfigTaken, "bytes", len(body))
+	if call, callErr := canon.ReadCall(body); callErr == nil {
+		for _, path := range call.Paths() {
+			c.node.Chronicle.Note(chronicle.Item, path, "acknowledged", "", 0, true)
+		}
+	}
 	return nil
 }
 
@@ -128,5 +155,6 @@
 		return err
 	}
 	c.log.Say(events.EvacuationTaken, "site", site, "start", start)
+	c.node.Chronicle.Note(chronicle.Evacuation, site, "acknowledged", "", 0, true)
 	return nil
 }
--- a/internal/council/status.go
+++ b/internal/council/status.go
@@ -5,13 +5,17 @@
 	"encoding/json"
 
 	"tinpin/internal/accord"
+	"tinpin/internal/canon"
+	"tinpin/internal/chronicle"
+	"tinpin/internal/forum"
 	"tinpin/internal/parley"
 )
 
 // Status answers calls about this daemon.
 type Status struct{ council *Council }
 
-type coreAccount struct {
+// CoreAccount is what an accord daemon tells of itself.
+type CoreAccount struct {
 	Role    string          `json:"role"`
 	Name    string          `json:"name"`
 	ID      string          `json:"id"`
@@ -22,17 +26,50 @@
 	Members []accord.Member `json:"members"`
 	Rev     uint64          `json:"rev"`
 	Claims  int             `json:"claims"`
+	Forum   *forum.Account  `json:"forum,omitempty"`
 }
 
 // Tell gives the account.
 func (s *Status) Tell(_ parley.StatusAsk, reply *parley.StatusReply) (err error) {
 	c := s.council
-	account := coreAccount{Role: "accord", Name: c.props.Name, ID: string(c.node.Self().ID)}
+	account := CoreAccount{Role: "accord", Name: c.props.Name, ID: string(c.node.Self().ID)}
 	var leader accord.Member
 	var term accord.Term
 	account.Leads, account.Settled, term, leader, account.Members = c.node.Standing()
 	account.Term, account.Leader = uint64(term), leader.Control
 	c.node.Read(func(state *accord.State) { account.Rev, account.Claims = state.Rev, state.Claims() })
+	if open := c.desk.Forum(); open != nil {
+		account.Forum = open.Account()
+	}
 	reply.JSON, err = json.Marshal(account)
 	return err
 }
+
+// Trace tells what this daemon knows of a subject.
+func (s *Status) Trace(ask parley.TraceAsk, reply *parley.TraceReply) (err error) {
+	c := s.council
+	reply.Name = c.props.Name
+	for _, told := range c.node.Chronicle.Tell(chronicle.Subject{Kind: ask.Kind, Name: ask.Name}) {
+		reply.Marks = append(reply.Marks, parley.TraceMark{What: told.What, Stamp: told.Stamp, Rev: told.Rev, Age: told.Age})
+	}
+	switch ask.Kind {
+	case chronicle.Item:
+		c.node.Read(func(state *accord.State) {
+			var item canon.Item
+			item, reply.Has = state.Canon.Find(ask.Name)
+			reply.Stamp, reply.Rev = item.Stamp(), item.Rev
+		})
+	case chronicle.Evacuation:
+		c.node.Read(func(state *accord.State) {
+			var evacuation accord.Evacuation
+			evacuation, reply.Has = state.Evacuations[ask.Name]
+			reply.Stamp, reply.Rev = evacuation.Stamp(), evacuation.Rev
+		})
+	default:
+		// Only the leader knows backends and their health.
+		if open := c.desk.Forum(); open != nil {
+			reply.Stamp, reply.Has = open.Stands(ask.Kind, parley.ServerID(ask.Name))
+		}
+	}
+	return nil
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -37,6 +37,8 @@
 	ChangeApplied
 	HealthChanged
 	InnerFailed
+	ChangeSeen
+	EventsDropped
 )
 
 // Texts is the catalogue.
@@ -62,6 +64,8 @@
 	ChangeApplied:   "change applied on this daemon",
 	HealthChanged:   "health of a backend changed",
 	InnerFailed:     "call to a fellow failed",
+	ChangeSeen:      "change seen on this daemon",
+	EventsDropped:   "events not delivered to their receiver",
 }
 
 // Log writes numbered events.
--- /dev/null
+++ b/internal/forum/account.go
@@ -0,0 +1,79 @@
+// Account is what the leader tells operators: the fellows, the shard map with
+// the owner of each service, and what is lent of each bound.
+package forum
+
+import (
+	"sort"
+
+	"tinpin/internal/allot"
+	"tinpin/internal/chronicle"
+	"tinpin/internal/parley"
+)
+
+// FellowAccount is one fellow.
+type FellowAccount struct {
+	Name  string `json:"name"`
+	Site  string `json:"site"`
+	Inner string `json:"inner"`
+	Ready bool   `json:"ready"`
+	Here  bool   `json:"here"`
+}
+
+// LentAccount is what is lent of one bound.
+type LentAccount struct {
+	Bound string  `json:"bound"`
+	Lent  float64 `json:"lent"`
+}
+
+// Account is the leader's.
+type Account struct {
+	Fellows  []FellowAccount   `json:"fellows"`
+	MapCount uint64            `json:"map_count"`
+	Members  []string          `json:"map_members"`
+	Owners   map[string]string `json:"owners"`
+	Backends int               `json:"backends"`
+	Down     int               `json:"backends_down"`
+	Lent     []LentAccount     `json:"lent"`
+}
+
+// Account gives it.
+func (f *Forum) Account() (account *Account) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	account = &Account{MapCount: uint64(f.shards.Count), Owners: map[string]string{}}
+	f.roll.Fellows.Each(func(id parley.FellowID, fellow parley.Fellow) {
+		account.Fellows = append(account.Fellows, FellowAccount{string(id), string(fellow.Site), fellow.Inner, fellow.Ready && !fellow.Stopping, f.roll.Here(id)})
+	})
+	sort.Slice(account.Fellows, func(i, j int) bool { return account.Fellows[i].Name < account.Fellows[j].Name })
+	for _, member := range f.shards.Members {
+		account.Members = append(account.Members, string(member))
+	}
+	for name := range f.view.Services {
+		account.Owners[name] = string(f.cache.Owner(parley.ServiceName(name), f.absent))
+	}
+	f.list.Servers.Each(func(parley.ServerID, parley.Server) { account.Backends++ })
+	f.cache.States.Each(func(_ parley.ServerID, state parley.State) {
+		if state.Health == parley.Down {
+			account.Down++
+		}
+	})
+	now := f.now()
+	account.Lent = append(account.Lent, LentAccount{"retry slack", f.book.Lent(now, allot.Key{Kind: parley.RetrySlack})})
+	for _, tenant := range f.view.Tenants() {
+		account.Lent = append(account.Lent, LentAccount{"tenant " + tenant.Name, f.lender.Lent(now, tenant.Name)})
+	}
+	sort.Slice(account.Lent, func(i, j int) bool { return account.Lent[i].Bound < account.Lent[j].Bound })
+	return account
+}
+
+// Stands tells how a backend or its health stands at the leader.
+func (f *Forum) Stands(kind string, id parley.ServerID) (stamp string, has bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if kind == chronicle.Backend {
+		server, known := f.list.Servers.Get(id)
+		return server.Stamp(), known
+	}
+	state, known := f.cache.States.Get(id)
+	return f.cache.Remaining(f.now(), state).Stamp(), known
+}
--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -14,6 +14,7 @@
 	"tinpin/internal/allot"
 	"tinpin/internal/canon"
 	"tinpin/internal/census"
+	"tinpin/internal/chronicle"
 	"tinpin/internal/events"
 	"tinpin/internal/parley"
 	"tinpin/internal/props"
@@ -202,7 +203,15 @@
 func (f *Forum) merge(servers []parley.Server) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.clock.Now()
 	changed, fresh := f.list.Merge(servers)
+	f.list.Servers.Since(before, func(id parley.ServerID, server parley.Server, gone bool) {
+		stamp := server.Stamp()
+		if gone {
+			stamp = "gone"
+		}
+		f.node.Chronicle.Note(chronicle.Backend, string(id), "listed", stamp, 0, before <= 1)
+	})
 	now := f.now()
 	for _, server := range fresh {
 		if server.Cold > 0 {
@@ -410,7 +419,11 @@
 		}
 	}
 	ask.States = listed
+	before := f.clock.Now()
 	taken, changed := f.cache.Report(f.now(), ask, absent)
+	f.cache.States.Since(before, func(id parley.ServerID, state parley.State, _ bool) {
+		f.node.Chronicle.Note(chronicle.Health, string(id), "reported by "+string(ask.Fellow), state.Stamp(), uint64(f.clock.Now()), true)
+	})
 	if changed {
 		f.stir()
 	}
--- /dev/null
+++ b/internal/herald/herald_test.go
@@ -0,0 +1,57 @@
+package herald
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"tinpin/internal/chronicle"
+	"tinpin/internal/events"
+)
+
+func TestChangesAreTold(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	body := make(chan []byte, 1)
+	receiver := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		got <- r
+		body <- data
+		w.WriteHeader(http.StatusAccepted)
+	}))
+	defer receiver.Close()
+	herald, err := New(receiver.URL, "core-1", events.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	herald.Tell(chronicle.Mark{Subject: chronicle.Subject{Kind: chronicle.Item, Name: "routes/r1"}, What: "applied", Stamp: "7", Rev: 12})
+	request := <-got
+	for head, want := range map[string]string{"Ce-Type": "tinpin.item.applied", "Ce-Source": "/tinpin/core-1", "Ce-Subject": "routes/r1", "Ce-Specversion": "1.0"} {
+		if request.Header.Get(head) != want {
+			t.Errorf("%s is %q, want %q", head, request.Header.Get(head), want)
+		}
+	}
+	var data map[string]any
+	if err = json.Unmarshal(<-body, &data); err != nil || data["stamp"] != "7" || data["rev"] != 12.0 {
+		t.Fatalf("%v %v", data, err)
+	}
+}
+
+// A receiver that takes in nothing must not hold up the one who tells.
+func TestASlowReceiverHoldsNothingUp(t *testing.T) {
+	gate := make(chan struct{})
+	receiver := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-gate }))
+	defer receiver.Close()
+	defer close(gate)
+	herald, err := New(receiver.URL, "core-1", events.Quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < 5*ringRoom; i++ {
+		herald.Tell(chronicle.Mark{Subject: chronicle.Subject{Kind: chronicle.Backend, Name: "b"}, What: "listed"})
+	}
+	if dropped := herald.Dropped(); dropped < 4*ringRoom-2 {
+		t.Fatalf("only %d dropped: the ring is not bounded", dropped)
+	}
+}
--- /dev/null
+++ b/internal/lens/lens.go
@@ -0,0 +1,193 @@
+// Package lens is the operator's view from outside: it asks the running
+// daemons how they stand and what became of a change, and says plainly which
+// of them cannot be reached or lack it. It needs the inner address of one
+// accord daemon; the others it learns from there.
+package lens
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"tinpin/internal/council"
+	"tinpin/internal/parley"
+	"tinpin/internal/passage"
+)
+
+// Class marks what the tools cannot do.
+var Class = errs.Class("lens")
+
+const patience = 2 * time.Second
+
+// Fleet is what the daemons told.
+type Fleet struct {
+	Cores       []council.CoreAccount `json:"cores"`
+	Fellows     []passage.Account     `json:"passages"`
+	Unreachable []string              `json:"unreachable"`
+	inners      map[string]string
+}
+
+// each calls a method on all addresses at once.
+func each[Reply any](addresses []string, method string, ask any, told func(address string, reply Reply, err error)) {
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, address := range addresses {
+		calls.Add(1)
+		go func() {
+			defer calls.Done()
+			caller := parley.NewCaller(address)
+			defer caller.Close()
+			var reply Reply
+			err := caller.Call(method, ask, &reply, patience)
+			mu.Lock()
+			defer mu.Unlock()
+			told(address, reply, err)
+		}()
+	}
+	calls.Wait()
+}
+
+// Look asks all daemons that can be found from some accord daemons.
+func Look(starts []string) (fleet *Fleet, err error) {
+	fleet = &Fleet{inners: map[string]string{}}
+	asked := map[string]bool{}
+	for wave := starts; len(wave) > 0; {
+		var next []string
+		for _, address := range wave {
+			asked[address] = true
+		}
+		each(wave, "Status.Tell", parley.StatusAsk{}, func(address string, reply parley.StatusReply, callErr error) {
+			var account council.CoreAccount
+			if callErr == nil {
+				callErr = json.Unmarshal(reply.JSON, &account)
+			}
+			if callErr != nil {
+				fleet.Unreachable = append(fleet.Unreachable, "accord "+address)
+				return
+			}
+			fleet.Cores = append(fleet.Cores, account)
+			fleet.inners[account.Name] = address
+			for _, member := range account.Members {
+				if !asked[member.Inner] {
+					asked[member.Inner] = true
+					next = append(next, member.Inner)
+				}
+			}
+		})
+		wave = next
+	}
+	if len(fleet.Cores) == 0 {
+		return fleet, Class.New("no accord daemon can be reached at %s", strings.Join(starts, ", "))
+	}
+	sort.Slice(fleet.Cores, func(i, j int) bool { return fleet.Cores[i].Name < fleet.Cores[j].Name })
+	leader := fleet.Leader()
+	if leader == nil || leader.Forum == nil {
+		return fleet, nil
+	}
+	names := map[string]string{}
+	var addresses []string
+	for _, fellow := range leader.Forum.Fellows {
+		names[fellow.Inner] = fellow.Name
+		addresses = append(addresses, fellow.Inner)
+	}
+	each(addresses, "Status.Tell", parley.StatusAsk{}, func(address string, reply parley.StatusReply, callErr error) {
+		var account passage.Account
+		if callErr == nil {
+			callErr = json.Unmarshal(reply.JSON, &account)
+		}
+		if callErr != nil {
+			fleet.Unreachable = append(fleet.Unreachable, "passage "+names[address]+" at "+address)
+			return
+		}
+		fleet.Fellows = append(fleet.Fellows, account)
+		fleet.inners[account.Name] = address
+	})
+	sort.Slice(fleet.Fellows, func(i, j int) bool { return fleet.Fellows[i].Name < fleet.Fellows[j].Name })
+	sort.Strings(fleet.Unreachable)
+	return fleet, nil
+}
+
+// Leader is the core that leads in the highest term.
+func (f *Fleet) Leader() (leader *council.CoreAccount) {
+	for i := range f.Cores {
+		if core := &f.Cores[i]; core.Leads && core.Settled && (leader == nil || core.Term > leader.Term) {
+			leader = core
+		}
+	}
+	return leader
+}
+
+// Status prints the fleet; good tells that all is reachable and led.
+func (f *Fleet) Status(out io.Writer, asJSON bool) (good bool, err error) {
+	leader := f.Leader()
+	good = leader != nil && len(f.Unreachable) == 0
+	if asJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		return good, Class.Wrap(encoder.Encode(f))
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(cells ...any) {
+		_, _ = fmt.Fprintln(table, strings.TrimRight(strings.Join(texts(cells), "\t"), "\t"))
+	}
+	row("CORE", "LEADS", "TERM", "REV", "KEYS", "VOTERS")
+	for _, core := range f.Cores {
+		voters := 0
+		for _, member := range core.Members {
+			if member.Voter {
+				voters++
+			}
+		}
+		row(core.Name, core.Leads, core.Term, core.Rev, core.Claims, voters)
+	}
+	if leader == nil {
+		row("no leader")
+	} else if leader.Forum != nil {
+		row("")
+		row("PASSAGE", "SITE", "READY", "HEARD", "REV", "AT WORK", "PROBES")
+		for _, fellow := range leader.Forum.Fellows {
+			rev, work, probes := any("?"), any("?"), "?"
+			for _, account := range f.Fellows {
+				if account.Name == fellow.Name {
+					rev, work, probes = account.Rev, account.AtWork, strings.Join(account.Probes, ",")
+				}
+			}
+			row(fellow.Name, fellow.Site, fellow.Ready, fellow.Here, rev, work, probes)
+		}
+		row("")
+		row("SERVICE", "OWNER", fmt.Sprintf("MAP %d OF %d", leader.Forum.MapCount, len(leader.Forum.Members)))
+		services := make([]string, 0, len(leader.Forum.Owners))
+		for service := range leader.Forum.Owners {
+			services = append(services, service)
+		}
+		sort.Strings(services)
+		for _, service := range services {
+			row(service, leader.Forum.Owners[service])
+		}
+		row("")
+		row("BOUND", "LENT")
+		for _, lent := range leader.Forum.Lent {
+			row(lent.Bound, fmt.Sprintf("%.3f", lent.Lent))
+		}
+		row("")
+		row("BACKENDS", leader.Forum.Backends, "DOWN", leader.Forum.Down)
+	}
+	for _, address := range f.Unreachable {
+		row("unreachable: " + address)
+	}
+	return good, Class.Wrap(table.Flush())
+}
+
+func texts(cells []any) (texts []string) {
+	for _, cell := range cells {
+		texts = append(texts, fmt.Sprint(cell))
+	}
+	return texts
+}
--- /dev/null
+++ b/internal/lens/trace.go
@@ -0,0 +1,158 @@
+// Trace follows one change through all daemons: when it was acknowledged,
+// applied, listed, probed or heard at each, by the ages that the daemons tell
+// on their own steady clocks, so that no two clocks are compared. From logs it
+// has only the written time of day, and says so.
+package lens
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"tinpin/internal/chronicle"
+	"tinpin/internal/council"
+	"tinpin/internal/events"
+	"tinpin/internal/parley"
+)
+
+type traced struct {
+	daemon string
+	ago    time.Duration
+	mark   parley.TraceMark
+}
+
+// Known tells whether the tracer knows a kind of subject.
+func Known(kind string) bool { return slices.Contains(chronicle.Kinds, kind) }
+
+// Trace prints what became of a subject; good tells that every daemon has it
+// as the leader has.
+func (f *Fleet) Trace(out io.Writer, kind, name string) (good bool, err error) {
+	var marks []traced
+	var lacks []string
+	replies := map[string]parley.TraceReply{}
+	addresses := make([]string, 0, len(f.inners))
+	for _, address := range f.inners {
+		addresses = append(addresses, address)
+	}
+	each(addresses, "Status.Trace", parley.TraceAsk{Kind: kind, Name: name}, func(address string, reply parley.TraceReply, callErr error) {
+		if callErr != nil {
+			f.Unreachable = append(f.Unreachable, address)
+			return
+		}
+		replies[reply.Name] = reply
+		for _, mark := range reply.Marks {
+			marks = append(marks, traced{reply.Name, mark.Age, mark})
+		}
+	})
+	leader := f.Leader()
+	if leader == nil {
+		return false, Class.New("there is no leader to compare with")
+	}
+	right := replies[leader.Name]
+	if !right.Has && len(marks) == 0 {
+		return false, Class.New("no daemon knows a %s named %q", kind, name)
+	}
+	sort.Slice(marks, func(i, j int) bool { return marks[i].ago > marks[j].ago })
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(table, "%s %s\n\nAFTER\tDAEMON\tWHAT\tSTAMP\tREV\n", kind, name)
+	for _, each := range marks {
+		rev := ""
+		if each.mark.Rev > 0 {
+			rev = fmt.Sprint(each.mark.Rev)
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", (marks[0].ago - each.ago).Round(time.Millisecond), each.daemon, each.mark.What, each.mark.Stamp, rev)
+	}
+	_, _ = fmt.Fprintf(table, "\nNOW\t%s\tleads\t%s\n", leader.Name, stands(right))
+	names := make([]string, 0, len(replies))
+	for daemon := range replies {
+		names = append(names, daemon)
+	}
+	sort.Strings(names)
+	for _, daemon := range names {
+		reply := replies[daemon]
+		core := slices.ContainsFunc(f.Cores, func(account council.CoreAccount) bool { return account.Name == daemon })
+		if daemon == leader.Name || core && (kind == chronicle.Backend || kind == chronicle.Health) {
+			continue
+		}
+		same := reply.Has == right.Has && reply.Stamp == right.Stamp || reply.Rev > 0 && reply.Rev == right.Rev
+		if kind == chronicle.Health {
+			same = strings.HasPrefix(reply.Stamp, strings.Fields(right.Stamp + " ")[0])
+		}
+		if !same {
+			lacks = append(lacks, fmt.Sprintf("%s lacks it: %s", daemon, stands(reply)))
+		}
+	}
+	for _, line := range lacks {
+		_, _ = fmt.Fprintln(table, line)
+	}
+	for _, address := range f.Unreachable {
+		_, _ = fmt.Fprintln(table, "unreachable: "+address)
+	}
+	if len(lacks) == 0 && len(f.Unreachable) == 0 {
+		_, _ = fmt.Fprintln(table, "every daemon has it")
+	}
+	return len(lacks) == 0 && len(f.Unreachable) == 0, Class.Wrap(table.Flush())
+}
+
+func stands(reply parley.TraceReply) (text string) {
+	if !reply.Has {
+		return "not there"
+	}
+	return reply.Stamp
+}
+
+// TraceLogs prints what logs say of a subject.
+func TraceLogs(out io.Writer, files []string, kind, name string) (err error) {
+	type line struct {
+		TS     string `json:"ts"`
+		Daemon string `json:"daemon"`
+		Event  int    `json:"event"`
+		Kind   string `json:"kind"`
+		Name   string `json:"name"`
+		What   string `json:"what"`
+		Stamp  string `json:"stamp"`
+		Rev    uint64 `json:"rev"`
+	}
+	var found []line
+	for _, path := range files {
+		file, openErr := os.Open(path)
+		if openErr != nil {
+			return Class.Wrap(openErr)
+		}
+		scanner := bufio.NewScanner(file)
+		scanner.Buffer(nil, 1<<20)
+		for scanner.Scan() {
+			text := scanner.Text()
+			brace := strings.IndexByte(text, '{')
+			if brace < 0 {
+				continue
+			}
+			var read line
+			if json.Unmarshal([]byte(text[brace:]), &read) == nil && read.Event == int(events.ChangeSeen) && read.Kind == kind && read.Name == name {
+				found = append(found, read)
+			}
+		}
+		scanErr := scanner.Err()
+		_ = file.Close()
+		if scanErr != nil {
+			return Class.Wrap(scanErr)
+		}
+	}
+	if len(found) == 0 {
+		return Class.New("no log line tells of a %s named %q", kind, name)
+	}
+	sort.SliceStable(found, func(i, j int) bool { return found[i].TS < found[j].TS })
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(table, "%s %s, by the daemons' times of day, which may differ\n\nAT\tDAEMON\tWHAT\tSTAMP\tREV\n", kind, name)
+	for _, read := range found {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\n", read.TS, read.Daemon, read.What, read.Stamp, read.Rev)
+	}
+	return Class.Wrap(table.Flush())
+}
--- a/internal/parley/caller.go
+++ b/internal/parley/caller.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
@@ -130,25 +131,71 @@
 	}
 }
 
-// Serve answers calls to the receivers on the listener until it closes.
-func Serve(listener net.Listener, receivers map[string]any) (err error) {
+// Listener answers inner calls.
+type Listener struct {
+	listener net.Listener
+	mu       sync.Mutex
+	open     map[net.Conn]bool
+	closed   bool
+}
+
+// Serve answers calls to the receivers on an address until it is closed.
+func Serve(address string, receivers map[string]any) (served *Listener, err error) {
+	listener, err := Listen(address, time.Second)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
 	server := rpc.NewServer()
 	for name, receiver := range receivers {
 		if err = server.RegisterName(name, receiver); err != nil {
-			return Class.Wrap(err)
+			return nil, Class.Wrap(err)
 		}
 	}
-	go func() {
-		for {
-			conn, acceptErr := listener.Accept()
-			if acceptErr != nil {
-				if ne, ok := acceptErr.(net.Error); ok && ne.Timeout() {
-					continue
-				}
+	served = &Listener{listener: listener, open: map[net.Conn]bool{}}
+	go served.accept(server)
+	return served, nil
+}
+
+func (s *Listener) accept(server *rpc.Server) {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			go server.ServeConn(conn)
+			// Out of descriptors, say: others may close theirs.
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		if !s.keep(conn, true) {
+			_ = conn.Close()
+			return
 		}
-	}()
-	return nil
+		go func() {
+			server.ServeConn(conn)
+			s.keep(conn, false)
+		}()
+	}
+}
+
+func (s *Listener) keep(conn net.Conn, open bool) (kept bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open && !s.closed {
+		s.open[conn] = true
+		return true
+	}
+	delete(s.open, conn)
+	return false
+}
+
+// Close stops listening and ends all streams.
+func (s *Listener) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.open {
+		_ = conn.Close()
+	}
 }
--- a/internal/parley/words.go
+++ b/internal/parley/words.go
@@ -56,6 +56,14 @@
 	Cold     time.Duration
 }
 
+// Stamp tells a backend's state in a word.
+func (s Server) Stamp() (stamp string) {
+	if s.Draining {
+		return "draining"
+	}
+	return "ready"
+}
+
 // ServerChange is one line of the list; Gone takes it out.
 type ServerChange struct {
 	Server
@@ -80,6 +88,15 @@
 	Gone   bool
 }
 
+// Stamp tells the state in words.
+func (s State) Stamp() (stamp string) {
+	stamp = [...]string{"unknown", "up", "down"}[min(s.Health, Down)]
+	if s.Cold > 0 {
+		stamp += " cold"
+	}
+	return stamp
+}
+
 // ShardMap is the list that all daemons hash over.
 type ShardMap struct {
 	Term    Term
@@ -115,6 +132,14 @@
 	Rev    uint64
 }
 
+// Stamp tells the order in a word.
+func (e Evacuation) Stamp() (stamp string) {
+	if e.Active {
+		return "active"
+	}
+	return "withdrawn"
+}
+
 // Core is an accord daemon as fellows know it.
 type Core struct{ Inner, Control string }
 
@@ -253,3 +278,22 @@
 
 // StatusReply is a daemon's account of itself, as JSON.
 type StatusReply struct{ JSON []byte }
+
+// TraceAsk asks a daemon what it knows of a subject.
+type TraceAsk struct{ Kind, Name string }
+
+// TraceMark is one thing that happened to the subject at that daemon.
+type TraceMark struct {
+	What, Stamp string
+	Rev         uint64
+	Age         time.Duration
+}
+
+// TraceReply tells the marks, and whether and how the subject stands there now.
+type TraceReply struct {
+	Name  string
+	Marks []TraceMark
+	Has   bool
+	Stamp string
+	Rev   uint64
+}
--- a/internal/passage/daemon.go
+++ b/internal/passage/daemon.go
@@ -8,7 +8,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"encoding/json"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -39,6 +38,7 @@
 	ready    atomic.Bool
 	stopping atomic.Bool
 	offices  []*http.Server
+	inner    *parley.Listener
 }
 
 // Start takes up the work.
@@ -53,11 +53,7 @@
 	d.limits = NewLimits(d.world.Share, func() { go d.link.Stir() })
 	d.prober = NewProber(d)
 	d.door = NewDoor(d.Answer, func() *canon.View { return d.world.Scene().View }, max(64, (p.Descriptors-300)*2/3), int64(p.MemoryMB)<<20/4)
-	inner, err := parley.Listen(p.Inner("passage"), time.Second)
-	if err != nil {
-		return nil, err
-	}
-	if err = parley.Serve(inner, map[string]any{"Fellow": &Desk{d}, "Status": &Status{d}}); err != nil {
+	if d.inner, err = parley.Serve(p.Inner("passage"), map[string]any{"Fellow": &Desk{d}, "Status": &Status{d}}); err != nil {
 		return nil, err
 	}
 	if err = d.door.Open(p.Front); err != nil {
@@ -143,6 +139,7 @@
 	for _, server := range d.offices {
 		_ = server.Close()
 	}
+	d.inner.Close()
 }
 
 // Desk takes inner calls of fellows.
@@ -171,34 +168,6 @@
 	return nil
 }
 
-// Status is this daemon's account of itself.
-type Status struct{ daemon *Daemon }
-
-type fellowAccount struct {
-	Role    string   `json:"role"`
-	Name    string   `json:"name"`
-	Ready   bool     `json:"ready"`
-	Led     bool     `json:"led"`
-	Leader  string   `json:"leader"`
-	Term    uint64   `json:"term"`
-	Epoch   uint64   `json:"epoch"`
-	Rev     uint64   `json:"rev"`
-	Fellows int      `json:"fellows"`
-	Probes  []string `json:"probes"`
-}
-
-// Tell gives the account.
-func (s *Status) Tell(_ parley.StatusAsk, reply *parley.StatusReply) (err error) {
-	d := s.daemon
-	term, epoch, rev := d.world.Seen()
-	account := fellowAccount{Role: "passage", Name: d.props.Name, Ready: d.isReady(), Led: d.link.Led(), Leader: *d.link.leader.Load(), Term: uint64(term), Epoch: uint64(epoch), Rev: rev, Fellows: len(d.world.Scene().Fellows)}
-	for _, service := range d.world.Duties() {
-		account.Probes = append(account.Probes, string(service))
-	}
-	reply.JSON, err = json.Marshal(account)
-	return err
-}
-
 // resolve tells a client where to go.
 func (d *Daemon) resolve(_ context.Context, host, region, site string) (addresses []string, ttl time.Duration, err error) {
 	scene := d.world.Scene()
--- a/internal/passage/probe.go
+++ b/internal/passage/probe.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"tinpin/internal/chronicle"
 	"tinpin/internal/events"
 	"tinpin/internal/parley"
 )
@@ -81,11 +82,13 @@
 			go p.report(service, scene.Services[service], term, count)
 		}
 	}
+	p.mu.Lock()
 	for service := range p.told {
 		if !mine[service] {
 			delete(p.told, service)
 		}
 	}
+	p.mu.Unlock()
 }
 
 func (p *Prober) probe(server *Server, path string, term parley.Term, count parley.Epoch) {
@@ -123,6 +126,9 @@
 		return
 	}
 	server.note(d.clock.Now(), nil, &state)
+	if turned {
+		d.world.Chronicle.Note(chronicle.Health, string(server.ID), "probed", state.Stamp(), 0, true)
+	}
 	if before.Health != state.Health {
 		if before.Health != parley.Unknown || state.Health == parley.Down {
 			d.log.Say(events.HealthChanged, "backend", string(server.ID), "health", int(state.Health))
--- a/internal/passage/server.go
+++ b/internal/passage/server.go
@@ -26,6 +26,7 @@
 type Server struct {
 	parley.Server
 	Region parley.RegionName
+	told   string
 
 	mu       sync.Mutex
 	health   parley.Health
--- /dev/null
+++ b/internal/passage/status.go
@@ -0,0 +1,53 @@
+// Status is a passage daemon's account of itself for operators' tools.
+package passage
+
+import (
+	"encoding/json"
+
+	"tinpin/internal/chronicle"
+	"tinpin/internal/parley"
+)
+
+// Status answers calls about this daemon.
+type Status struct{ daemon *Daemon }
+
+// Account is what a passage daemon tells of itself.
+type Account struct {
+	Role    string   `json:"role"`
+	Name    string   `json:"name"`
+	Ready   bool     `json:"ready"`
+	Led     bool     `json:"led"`
+	Leader  string   `json:"leader"`
+	Term    uint64   `json:"term"`
+	Epoch   uint64   `json:"epoch"`
+	Rev     uint64   `json:"rev"`
+	Fellows int      `json:"fellows"`
+	AtWork  int64    `json:"at_work"`
+	Probes  []string `json:"probes"`
+}
+
+// Tell gives the account.
+func (s *Status) Tell(_ parley.StatusAsk, reply *parley.StatusReply) (err error) {
+	d := s.daemon
+	term, epoch, rev := d.world.Seen()
+	account := Account{
+		Role: "passage", Name: d.props.Name, Ready: d.isReady(), Led: d.link.Led(), Leader: *d.link.leader.Load(),
+		Term: uint64(term), Epoch: uint64(epoch), Rev: rev, Fellows: len(d.world.Scene().Fellows), AtWork: d.door.AtWork(),
+	}
+	for _, service := range d.world.Duties() {
+		account.Probes = append(account.Probes, string(service))
+	}
+	reply.JSON, err = json.Marshal(account)
+	return err
+}
+
+// Trace tells what this daemon knows of a subject.
+func (s *Status) Trace(ask parley.TraceAsk, reply *parley.TraceReply) (err error) {
+	w := s.daemon.world
+	reply.Name = s.daemon.props.Name
+	for _, told := range w.Chronicle.Tell(chronicle.Subject{Kind: ask.Kind, Name: ask.Name}) {
+		reply.Marks = append(reply.Marks, parley.TraceMark{What: told.What, Stamp: told.Stamp, Rev: told.Rev, Age: told.Age})
+	}
+	reply.Stamp, reply.Rev, reply.Has = w.Stands(ask.Kind, ask.Name)
+	return nil
+}
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -12,6 +12,7 @@
 
 	"tinpin/internal/allot"
 	"tinpin/internal/canon"
+	"tinpin/internal/chronicle"
 	"tinpin/internal/events"
 	"tinpin/internal/parley"
 	"tinpin/internal/props"
@@ -34,6 +35,8 @@
 	props props.Props
 	log   *events.Log
 	clock Clock
+	// Chronicle remembers what became of changes here.
+	Chronicle *chronicle.Chronicle
 
 	mu       sync.Mutex
 	canon    *canon.Canon
@@ -56,7 +59,7 @@
 // NewWorld knows nothing yet.
 func NewWorld(p props.Props, log *events.Log, clock Clock) (world *World) {
 	world = &World{
-		props: p, log: log, clock: clock, canon: canon.New(), servers: map[parley.ServerID]*Server{},
+		props: p, log: log, clock: clock, Chronicle: chronicle.New(log), canon: canon.New(), servers: map[parley.ServerID]*Server{},
 		evac: map[parley.SiteName]parley.Evacuation{}, fellows: map[parley.FellowID]parley.Fellow{}, cores: map[string]bool{},
 		watch:  vigil.NewWatch(parley.FellowID(p.Name), p.SendInterval, clock.Now()),
 		shares: allot.NewShares(),
@@ -109,6 +112,7 @@
 	for _, evacuation := range news.Evacuations {
 		if old := w.evac[evacuation.Site]; old.Rev < evacuation.Rev {
 			w.evac[evacuation.Site] = evacuation
+			w.Chronicle.Note(chronicle.Evacuation, string(evacuation.Site), "applied", evacuation.Stamp(), evacuation.Rev, w.rev == 0)
 			back[evacuation.Site] = old.Active && !evacuation.Active
 		}
 	}
@@ -117,10 +121,10 @@
 			w.log.Say(events.PropsRefused, "item", item.Name, "problem", err.Error())
 		}
 	}
-	if news.Rev > w.rev {
-		w.rev = news.Rev
-		w.log.Say(events.ChangeApplied, "rev", w.rev, "items", len(news.Items))
+	for _, item := range news.Items {
+		w.Chronicle.Note(chronicle.Item, item.Path(), "applied", item.Stamp(), item.Rev, w.rev == 0)
 	}
+	w.rev = max(w.rev, news.Rev)
 	if len(news.Items) > 0 {
 		w.viewed = w.canon.View()
 		names := make([]parley.ServiceName, 0, len(w.viewed.Services))
@@ -152,6 +156,7 @@
 	}
 	for _, state := range news.States {
 		if server := w.servers[state.Server]; server != nil && !state.Gone {
+			w.Chronicle.Note(chronicle.Health, string(state.Server), "heard", state.Stamp(), uint64(news.Epoch), true)
 			server.note(now, nil, &state)
 		}
 	}
@@ -190,6 +195,7 @@
 		server := w.servers[change.ID]
 		if change.Gone {
 			if server != nil {
+				w.Chronicle.Note(chronicle.Backend, string(change.ID), "applied", "gone", 0, false)
 				server.sweep(now, true)
 				delete(w.servers, change.ID)
 			}
@@ -202,6 +208,10 @@
 			}
 			w.servers[change.ID] = server
 		}
+		if stamp := change.Stamp(); server.told != stamp {
+			server.told = stamp
+			w.Chronicle.Note(chronicle.Backend, string(change.ID), "applied", stamp, 0, full)
+		}
 		server.note(now, &change.Server, nil)
 	}
 	if !full {
@@ -306,3 +316,27 @@
 	defer w.mu.Unlock()
 	return w.watch.AbsentNow()
 }
+
+// Stands tells how a subject stands on this daemon.
+func (w *World) Stands(kind, name string) (stamp string, rev uint64, has bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch kind {
+	case chronicle.Item:
+		item, known := w.canon.Find(name)
+		return item.Stamp(), item.Rev, known
+	case chronicle.Evacuation:
+		evacuation, known := w.evac[parley.SiteName(name)]
+		return evacuation.Stamp(), evacuation.Rev, known
+	}
+	server := w.servers[parley.ServerID(name)]
+	if server == nil {
+		return "", 0, false
+	}
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if kind == chronicle.Backend {
+		return server.Server.Stamp(), 0, true
+	}
+	return parley.State{Health: server.health, Cold: max(0, server.coldTill-w.clock.Now())}.Stamp(), 0, true
+}
--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -6,6 +6,7 @@
 
 import (
 	"net"
+	"net/url"
 	"os"
 	"sort"
 	"strconv"
@@ -36,6 +37,7 @@
 	MemoryMB, Descriptors             int
 	PlatformAddress                   string
 	PlatformRate                      float64
+	EventsTo                          string
 	Bounds                            Bounds
 	SendInterval, ProbeInterval       time.Duration
 	ListInterval                      time.Duration
@@ -164,6 +166,11 @@
 	props.Descriptors = int(r.number(v, "descriptors", 64, 1024))
 	props.PlatformAddress = r.address(v, "platform.address")
 	props.PlatformRate = r.number(v, "platform.rate_per_s", 0.01, 10)
+	if props.EventsTo = r.text(v, "events_to", false); props.EventsTo != "" {
+		if target, urlErr := url.Parse(props.EventsTo); urlErr != nil || target.Scheme != "http" || target.Host == "" {
+			r.fail("events_to", "must be an http address")
+		}
+	}
 	b := &props.Bounds
 	b.AddressReuse = r.span(v, "bounds.address_reuse", 2*time.Second)
 	b.Contact = r.span(v, "bounds.contact", 3*time.Second)
--- /dev/null
+++ b/internal/stage/stage.go
@@ -0,0 +1,282 @@
+// Package stage sets up a whole system of tinpin on loopback addresses, with
+// stand-ins for the platform and the backends, for a first look and for tests
+// from end to end. The daemons are the real ones; only what lies outside
+// tinpin is made up here, after the published protocol.
+package stage
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"tinpin/internal/council"
+	"tinpin/internal/events"
+	"tinpin/internal/passage"
+	"tinpin/internal/props"
+)
+
+// Class marks failures of the stage.
+var Class = errs.Class("stage")
+
+// Backend is a stand-in for a backend.
+type Backend struct {
+	ID, Service, Address, Site string
+	Runs                       atomic.Int64
+	server                     *http.Server
+}
+
+// ServeHTTP answers as the protocol has it.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Tinpin-Instance-Id", b.ID)
+	if id := r.Header.Get("Tinpin-Request-Id"); id != "" {
+		w.Header().Set("Tinpin-Request-Id", id)
+	}
+	if target := r.Header.Get("Tinpin-Target-Instance"); target != "" && target != b.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == "/health" {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	run := b.Runs.Add(1)
+	w.Header().Set("Tinpin-Response-Signature", fmt.Sprintf("%s.%d", b.ID, run))
+	_, _ = fmt.Fprintf(w, "%s %s ran on %s (%d bytes)\n", r.Method, r.URL.Path, b.ID, len(body))
+}
+
+// Stage is a running system.
+type Stage struct {
+	Cores     map[string]*council.Council
+	Edges     map[string]*passage.Daemon
+	Backends  []*Backend
+	CoreProps []props.Props
+	EdgeProps []props.Props
+	hosts     func(n int) string
+	platform  *http.Server
+	mu        sync.Mutex
+	draining  map[string]bool
+}
+
+func serve(address string, handler http.Handler) (server *http.Server, err error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	server = &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+// Hosts gives the loopback addresses of one process's stage.
+func Hosts() (hosts func(n int) string) {
+	pid := os.Getpid()
+	return func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, n) }
+}
+
+// Start sets up three cores, two edges and four backends of two services.
+func Start(folder string, hosts func(n int) string) (stage *Stage, err error) {
+	stage = &Stage{Cores: map[string]*council.Council{}, Edges: map[string]*passage.Daemon{}, hosts: hosts, draining: map[string]bool{}}
+	for i, service := range []string{"hello", "hello", "ledger", "ledger"} {
+		backend := &Backend{ID: fmt.Sprint("i-", i+1), Service: service, Address: hosts(40+i) + ":18080", Site: "harbour"}
+		if backend.server, err = serve(backend.Address, backend); err != nil {
+			return nil, err
+		}
+		stage.Backends = append(stage.Backends, backend)
+	}
+	platform := hosts(30) + ":18169"
+	if stage.platform, err = serve(platform, http.HandlerFunc(stage.list)); err != nil {
+		return nil, err
+	}
+	var seeds []string
+	for i := 1; i <= 3; i++ {
+		seeds = append(seeds, hosts(i)+":18166")
+	}
+	common := func(name string, n int) (p props.Props) {
+		p = props.Props{
+			Name: name, Address: hosts(n), Site: "harbour", Region: "coast", Regions: map[string]string{"harbour": "coast"}, FirstStart: true,
+			InnerLow: 17720, InnerHigh: 17735, Seeds: seeds, MemoryMB: 256, Descriptors: 1024, PlatformAddress: platform, PlatformRate: 100,
+			SendInterval: time.Second, ProbeInterval: 500 * time.Millisecond, ListInterval: 200 * time.Millisecond,
+		}
+		p.Bounds = props.Bounds{Grace: 2 * time.Second, KeyWindow: time.Minute, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 20, TTLMax: 5 * time.Second}
+		return p
+	}
+	for i := 1; i <= 3; i++ {
+		p := common(fmt.Sprint("core-", i), i)
+		p.Control, p.Data = hosts(i)+":18166", filepath.Join(folder, p.Name)
+		stage.CoreProps = append(stage.CoreProps, p)
+		if stage.Cores[p.Name], err = council.Start(p, events.Quiet()); err != nil {
+			return nil, err
+		}
+	}
+	for i := 1; i <= 2; i++ {
+		p := common(fmt.Sprint("edge-", i), 20+i)
+		p.Front, p.Readiness, p.Direct = p.Address+":18161", p.Address+":18167", p.Address+":18164"
+		stage.EdgeProps = append(stage.EdgeProps, p)
+		if stage.Edges[p.Name], err = passage.Start(p, events.Quiet()); err != nil {
+			return nil, err
+		}
+	}
+	return stage, nil
+}
+
+// list is the stand-in for the platform.
+func (s *Stage) list(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := [][]any{}
+	for _, backend := range s.Backends {
+		state := "ready"
+		if s.draining[backend.ID] {
+			state = "draining"
+		}
+		rows = append(rows, []any{backend.ID, backend.Service, backend.Address, backend.Site, state, 8, "0ms", "v1"})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"instances":       map[string]any{"column_names": []string{"instance_id", "service_name", "address", "zone", "state", "capacity_slots", "cold_remaining", "version"}, "row_values": rows},
+		"next_page_token": nil,
+	})
+}
+
+// Drain has the platform list a backend as draining.
+func (s *Stage) Drain(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining[id] = true
+}
+
+// Inner lists the cores' inner addresses, as the tools want them.
+func (s *Stage) Inner() (inners []string) {
+	for _, p := range s.CoreProps {
+		inners = append(inners, p.Inner("accord"))
+	}
+	return inners
+}
+
+// FirstCall is a configuration to begin with.
+const FirstCall = `{"upserts":{
+ "services":{"column_names":["name","health_check_path","max_connections","version"],
+  "row_values":[["hello","/health",100,1],["ledger","/health",100,1]]},
+ "routes":{"column_names":["name","hostname","path_prefix","route_type","timeout","target_latency","max_attempts","service_name","version"],
+  "row_values":[["r-hello","shop.example","/hello/","idempotent","2s","500ms",2,"hello",1],
+                ["r-pay","shop.example","/pay/","keyed","2s","500ms",2,"ledger",1]]}}}`
+
+// Operator sends a call to any core that takes it, as an operator would.
+func (s *Stage) Operator(ctx context.Context, method, path, body string) (status int, answer string, err error) {
+	for {
+		for _, p := range s.CoreProps {
+			request, requestErr := http.NewRequestWithContext(ctx, method, "http://"+p.Control+path, bytes.NewReader([]byte(body)))
+			if requestErr != nil {
+				return 0, "", Class.Wrap(requestErr)
+			}
+			request.Header.Set("Content-Type", "application/json")
+			response, callErr := http.DefaultClient.Do(request)
+			if callErr != nil {
+				continue
+			}
+			data, _ := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if response.StatusCode < 500 {
+				return response.StatusCode, string(data), nil
+			}
+		}
+		if err = rest(ctx); err != nil {
+			return 0, "", err
+		}
+	}
+}
+
+func rest(ctx context.Context) (err error) {
+	select {
+	case <-ctx.Done():
+		return Class.Wrap(ctx.Err())
+	case <-time.After(20 * time.Millisecond):
+		return nil
+	}
+}
+
+// Until asks again and again until a condition holds.
+func Until(ctx context.Context, holds func() bool) (err error) {
+	for !holds() {
+		if err = rest(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var requests atomic.Int64
+
+// Ask sends one client request to an edge.
+func (s *Stage) Ask(ctx context.Context, edge int, method, path, key string) (status int, stamp, body string, err error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+s.EdgeProps[edge].Front+path, nil)
+	if err != nil {
+		return 0, "", "", Class.Wrap(err)
+	}
+	request.Host = "shop.example"
+	request.Header.Set("Tinpin-Request-Id", "q-"+strconv.FormatInt(requests.Add(1), 10))
+	request.Header.Set("Tinpin-Request-Deadline", "2000")
+	if key != "" {
+		request.Header.Set("Tinpin-Operation-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", "", Class.Wrap(err)
+	}
+	data, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode, response.Header.Get("Tinpin-Response-Signature"), string(data), Class.Wrap(err)
+}
+
+// Ready waits until both edges serve.
+func (s *Stage) Ready(ctx context.Context) (err error) {
+	for _, p := range s.EdgeProps {
+		err = Until(ctx, func() bool {
+			response, getErr := http.Get("http://" + p.Readiness + "/-/readiness")
+			if getErr != nil {
+				return false
+			}
+			_ = response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StopCore ends one core, as a SIGTERM would.
+func (s *Stage) StopCore(name string) {
+	s.Cores[name].Stop()
+	delete(s.Cores, name)
+}
+
+// Close ends everything.
+func (s *Stage) Close() {
+	var ends sync.WaitGroup
+	for _, edge := range s.Edges {
+		ends.Add(1)
+		go func() { defer ends.Done(); edge.Stop() }()
+	}
+	ends.Wait()
+	for name := range s.Cores {
+		s.StopCore(name)
+	}
+	_ = s.platform.Close()
+	for _, backend := range s.Backends {
+		_ = backend.server.Close()
+	}
+}
--- /dev/null
+++ b/internal/stage/stage_test.go
@@ -0,0 +1,101 @@
+package stage
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"tinpin/internal/lens"
+)
+
+// The whole system on loopback: founding, configuration, requests, keys,
+// draining, the tools, and the loss of a leader.
+func TestWholeSystem(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	stage, err := Start(t.TempDir(), Hosts())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stage.Close()
+	if status, answer, callErr := stage.Operator(ctx, "POST", "/-/Config.Update", FirstCall); callErr != nil || status != 200 {
+		t.Fatal(status, answer, callErr)
+	}
+	if err = stage.Ready(ctx); err != nil {
+		t.Fatal(err)
+	}
+	for edge := range 2 {
+		if status, stamp, body, askErr := stage.Ask(ctx, edge, "GET", "/hello/you", ""); askErr != nil || status != 200 || stamp == "" || !strings.Contains(body, "ran on") {
+			t.Fatal(status, stamp, body, askErr)
+		}
+	}
+	_, first, body, err := stage.Ask(ctx, 0, "POST", "/pay/1", "k-1")
+	if err != nil || first == "" {
+		t.Fatal(body, err)
+	}
+	// The repeat comes in at the other daemon and must not run again.
+	if _, again, body, askErr := stage.Ask(ctx, 1, "POST", "/pay/1", "k-1"); askErr != nil || again != first {
+		t.Fatalf("a repeat got %q %q, the first %q: %v", again, body, first, askErr)
+	}
+	if status, _, _ := stage.Operator(ctx, "POST", "/-/Config.Update", `{"upserts":`); status != 400 {
+		t.Fatalf("a call cut short got %d", status)
+	}
+	stage.Drain("i-1")
+	err = Until(ctx, func() bool {
+		before := stage.Backends[0].Runs.Load()
+		for i := range 12 {
+			_, _, _, _ = stage.Ask(ctx, i%2, "GET", "/hello/you", "")
+		}
+		return stage.Backends[0].Runs.Load() == before
+	})
+	if err != nil {
+		t.Fatal("the draining backend is still used")
+	}
+
+	var out bytes.Buffer
+	var fleet *lens.Fleet
+	look := func() {
+		if fleet, err = lens.Look(stage.Inner()); err != nil {
+			t.Fatal(err)
+		}
+		out.Reset()
+	}
+	if err = Until(ctx, func() bool { look(); good, _ := fleet.Status(&out, false); return good && len(fleet.Fellows) == 2 }); err != nil {
+		t.Fatal(out.String())
+	}
+	for _, want := range []string{"core-1", "edge-2", "hello", "ledger", "retry slack"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("status lacks %q:\n%s", want, out.String())
+		}
+	}
+	for _, subject := range [][2]string{{"item", "routes/r-pay"}, {"backend", "i-1"}} {
+		out.Reset()
+		if good, traceErr := fleet.Trace(&out, subject[0], subject[1]); traceErr != nil || !good || !strings.Contains(out.String(), "edge-1") {
+			t.Errorf("trace %v: %v %v\n%s", subject, good, traceErr, out.String())
+		}
+	}
+	if _, err = fleet.Trace(&out, "item", "routes/nobody"); err == nil {
+		t.Error("an unknown item was traced")
+	}
+
+	stage.StopCore(fleet.Leader().Name)
+	if status, _, callErr := stage.Operator(ctx, "POST", "/-/Evacuations.Start/elsewhere", ""); callErr != nil || status != 200 {
+		t.Fatal(status, callErr)
+	}
+	_, described, err := stage.Operator(ctx, "GET", "/-/Config.Describe", "")
+	if err != nil || !strings.Contains(described, "r-pay") {
+		t.Fatalf("after the leader's end: %q %v", described, err)
+	}
+	if err = Until(ctx, func() bool { _, again, _, _ := stage.Ask(ctx, 0, "POST", "/pay/1", "k-1"); return again == first }); err != nil {
+		t.Fatal("the key is forgotten")
+	}
+	if err = Until(ctx, func() bool {
+		look()
+		good, traceErr := fleet.Trace(&out, "evacuation", "elsewhere")
+		return traceErr == nil && !good && strings.Contains(out.String(), "unreachable") && !strings.Contains(out.String(), "lacks")
+	}); err != nil {
+		t.Fatalf("a daemon that is gone must be named:\n%s", out.String())
+	}
+}
--- a/internal/vigil/cache.go
+++ b/internal/vigil/cache.go
@@ -39,6 +39,15 @@
 // Shards takes the newest map.
 func (c *Cache) Shards(shards parley.ShardMap) { c.ring = NewRing(shards.Members) }
 
+// Owner names who should watch a service by the newest map.
+func (c *Cache) Owner(service parley.ServiceName, absent []parley.FellowID) (owner parley.FellowID) {
+	away := make(map[parley.FellowID]bool, len(absent))
+	for _, id := range absent {
+		away[id] = true
+	}
+	return c.ring.Owner(service, away)
+}
+
 // Report takes an owner's findings; absent are the fellows not heard.
 func (c *Cache) Report(now time.Duration, report parley.ReportAsk, absent map[parley.FellowID]bool) (taken, changed bool) {
 	rightful := c.ring.Owner(report.Service, absent)
