Hedge repeatable requests at silent backends, doubt them, and probe twice at once

Now a backend that owes an answer and says nothing is doubted, repeatable requests are hedged under the shared budget, and a silent probe is repeated at once.

--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -89,6 +89,7 @@
 	pending map[Index]pendingEntry
 	joiners map[ID]joiner
 	logSize int
+	loaded  Index
 	ticks   int
 	heardAt int
 
@@ -143,6 +144,7 @@
 	_, _ = crand.Read(seed[:])
 	luck := rand.New(rand.NewSource(int64(seed[0]) | int64(seed[1])<<8 | int64(seed[2])<<16 | int64(seed[3])<<24))
 	node.raft = NewRaft(id, Pace{Beat: beatTicks, Election: electTicks}, luck, hard, base, entries)
+	node.loaded = node.raft.Last()
 	node.publish()
 	return node, nil
 }
@@ -439,11 +441,11 @@
 	changed = n.state.Rev != before
 	if changed {
 		for _, item := range n.state.Canon.Since(before) {
-			n.Chronicle.Note(chronicle.Item, item.Path(), "applied", item.Stamp(), item.Rev, false)
+			n.Chronicle.Note(chronicle.Item, item.Path(), "applied", item.Stamp(), item.Rev, entry.Index <= n.loaded)
 		}
 		for _, evacuation := range n.state.Evacuations {
 			if evacuation.Rev > before {
-				n.Chronicle.Note(chronicle.Evacuation, evacuation.Site, "applied", evacuation.Stamp(), evacuation.Rev, false)
+				n.Chronicle.Note(chronicle.Evacuation, evacuation.Site, "applied", evacuation.Stamp(), evacuation.Rev, entry.Index <= n.loaded)
 			}
 		}
 	}
--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -15,6 +15,13 @@
 	"tinpin/internal/vigil"
 )
 
+// hedgePart is the part of the aim after which a silent backend is doubted.
+const hedgePart = 0.55
+
+// roomPause is how often a request that found all backends full looks again;
+// it does so no longer than a refusal still lets the client come back in time.
+const roomPause = 12 * time.Millisecond
+
 // plan makes the plan of a request, or says why there is none.
 func (d *Daemon) plan(request *Request, deadline string) (plan *Plan, kind problem.Kind, back time.Duration) {
 	scene := d.world.Scene()
@@ -96,6 +103,10 @@
 		scene := d.world.Scene()
 		server, any := d.world.choose(scene, Wanted{Service: plan.Service, Homes: plan.Way.Homes, Tried: plan.Tried})
 		if server == nil {
+			if any && now+roomPause < plan.Started+plan.Way.Aim/4 {
+				time.Sleep(roomPause)
+				continue
+			}
 			if any {
 				return verdict, plan.refusal(problem.NoRoom)
 			}
@@ -104,11 +115,8 @@
 		if arrived > 0 && !d.budget.Spend(now, plan.Service) {
 			return verdict, plan.refusal(problem.NoRoom)
 		}
-		round := run(d.clock, server, plan.Request, plan.Till)
-		if round.Sent {
-			arrived++
-		}
-		step, problemKind := plan.Learn(d.clock.Now(), server.ID, round)
+		round, answering := d.round(plan, server, &arrived)
+		step, problemKind := plan.Learn(d.clock.Now(), answering.ID, round)
 		switch step {
 		case GiveAnswer:
 			return round.Verdict, problem.None
@@ -118,6 +126,72 @@
 	}
 }
 
+// finished is a round that has ended, and with whom.
+type finished struct {
+	round  Round
+	server *Server
+}
+
+// round sends to one backend. Where the request may be repeated and the
+// backend says nothing for a good part of the aim, neither to this request nor
+// to any other, a second one is asked beside it and the first whole answer is
+// taken; what comes later is let go.
+func (d *Daemon) round(plan *Plan, server *Server, arrived *int) (round Round, answering *Server) {
+	wait := time.Duration(float64(plan.Way.Aim) * hedgePart)
+	if plan.Way.Repeat != canon.Idempotent || plan.Rounds < 2 || wait <= 0 {
+		round = run(d.clock, server, plan.Request, plan.Till)
+		if round.Sent {
+			*arrived++
+		}
+		return round, server
+	}
+	ends := make(chan finished, 2)
+	start := func(with *Server) {
+		go func() { ends <- finished{run(d.clock, with, plan.Request, plan.Till), with} }()
+	}
+	sentAt := d.clock.Now()
+	start(server)
+	running := 1
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case end := <-ends:
+			running--
+			if end.round.Sent {
+				*arrived++
+			}
+			if end.round.Outcome == Whole || running == 0 {
+				if running > 0 {
+					go letGo(ends)
+				}
+				return end.round, end.server
+			}
+			// One of two has failed; the other may yet answer.
+			plan.Learn(d.clock.Now(), end.server.ID, end.round)
+		case <-timer.C:
+			now := d.clock.Now()
+			if !server.silentSince(sentAt) || now >= plan.Till {
+				continue
+			}
+			tried := append([]parley.ServerID{server.ID}, plan.Tried...)
+			second, _ := d.world.choose(d.world.Scene(), Wanted{Service: plan.Service, Homes: plan.Way.Homes, Tried: tried})
+			if second == nil || !d.budget.Spend(now, plan.Service) {
+				continue
+			}
+			start(second)
+			running++
+		}
+	}
+}
+
+// letGo takes an answer that is not needed any more.
+func letGo(ends <-chan finished) {
+	if end := <-ends; end.round.Verdict.Finish != nil {
+		end.round.Verdict.Finish(false)
+	}
+}
+
 // carryKeyed claims the key first.
 func (d *Daemon) carryKeyed(plan *Plan) (verdict Verdict) {
 	request := plan.Request
--- a/internal/passage/choose.go
+++ b/internal/passage/choose.go
@@ -16,6 +16,7 @@
 const (
 	handicapSite   = 120
 	handicapRegion = 260
+	handicapDoubt  = 500
 	usualPace      = 120
 )
 
@@ -51,7 +52,7 @@
 func (w *World) choose(scene *Scene, wanted Wanted) (chosenServer *Server, any bool) {
 	now := w.clock.Now()
 	service := scene.View.Services[string(wanted.Service)]
-	spread := max(1, len(scene.Fellows))
+	spread := max(1, scene.Sharers)
 	bestCost := 0.0
 	var outServer *Server
 	outCost := 0.0
@@ -79,6 +80,9 @@
 			pace = min(pace, usualPace)
 		}
 		cost := pace * (1 + float64(server.burden)*min(1, float64(spread)/float64(slots)))
+		if server.doubted(now) {
+			cost += handicapDoubt
+		}
 		out, down, burden := now < server.outTill, server.health == parley.Down, server.burden
 		allowance := 0
 		if cold {
--- a/internal/passage/passage_test.go
+++ b/internal/passage/passage_test.go
@@ -420,3 +420,23 @@
 		}
 	}
 }
+
+// A backend that has gone dark after taking a request must not keep a request
+// that may be repeated, nor have one that may not sent again.
+func TestASilentBackendIsHedgedOnlyWhereAllowed(t *testing.T) {
+	gate := make(chan struct{})
+	defer close(gate)
+	for way, arrivals := range map[string]int{"/safe/": 1, "/once/": 0} {
+		dark := newStandIn(t, "i-1", func(int, seen, net.Conn) bool { <-gate; return false })
+		sound := newStandIn(t, "i-2", good)
+		d := daemonOf(t, dark, sound)
+		d.world.servers["i-2"].pace, d.world.servers["i-2"].paceAt = 1e6, 1
+		verdict := d.Answer(request("GET", way+"q", "ab"), "800")
+		if way == "/safe/" && verdict.Status != 200 || way == "/once/" && verdict.Status != 504 {
+			t.Errorf("%s: status %d", way, verdict.Status)
+		}
+		if sound.count() != arrivals {
+			t.Errorf("%s: %d arrivals at the second backend, want %d", way, sound.count(), arrivals)
+		}
+	}
+}
--- a/internal/passage/probe.go
+++ b/internal/passage/probe.go
@@ -5,8 +5,10 @@
 package passage
 
 import (
+	"errors"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"tinpin/internal/chronicle"
@@ -16,7 +18,7 @@
 
 const (
 	probePhases  = 4
-	probePatient = 1200 * time.Millisecond
+	probePatient = time.Second
 )
 
 // Finding is what one probe found.
@@ -93,7 +95,18 @@
 
 func (p *Prober) probe(server *Server, path string, term parley.Term, count parley.Epoch) {
 	d := p.daemon
-	finding, cold := probe(d.clock, server, path)
+	finding, cold := probe(d.clock, server, path, false)
+	if finding == FoundSilent {
+		// Asked again at once over a stream of its own: two silences are enough.
+		finding, cold = probe(d.clock, server, path, true)
+		if finding == FoundSilent {
+			p.mu.Lock()
+			if held := p.found[server.ID]; held != nil {
+				held.silent++
+			}
+			p.mu.Unlock()
+		}
+	}
 	p.mu.Lock()
 	held := p.found[server.ID]
 	if held == nil {
@@ -166,13 +179,16 @@
 }
 
 // probe asks a backend how it is.
-func probe(clock Clock, server *Server, path string) (finding Finding, cold time.Duration) {
+func probe(clock Clock, server *Server, path string, anew bool) (finding Finding, cold time.Duration) {
 	now := clock.Now()
-	stream := server.take(now)
+	var stream *Stream
+	if !anew {
+		stream = server.take(now)
+	}
 	if stream == nil {
 		var err error
 		if stream, err = server.dial(probePatient); err != nil {
-			if isTimeout(err) {
+			if isTimeout(err) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) {
 				return FoundSilent, 0
 			}
 			return FoundDown, 0
@@ -188,7 +204,7 @@
 		response, err := http.ReadResponse(stream.in, &http.Request{Method: http.MethodGet})
 		if err != nil {
 			server.drop(stream)
-			if isTimeout(err) {
+			if isTimeout(err) || errors.Is(err, syscall.ETIMEDOUT) {
 				return FoundSilent, 0
 			}
 			return FoundGarbled, 0
--- a/internal/passage/round.go
+++ b/internal/passage/round.go
@@ -16,6 +16,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -68,7 +69,9 @@
 	Lines                []Line
 	Body                 []byte
 	HasBody              bool
-	// head is the part of the head that is the same in every round.
+	// head is the part of the head that is the same in every round; rounds may
+	// run beside each other.
+	once sync.Once
 	head []byte
 }
 
@@ -100,24 +103,27 @@
 	return lines
 }
 
+// prepare writes the part of the head that is the same in every round.
+func (r *Request) prepare() {
+	head := make([]byte, 0, 512)
+	head = append(head, r.Method+" "+r.Target+" HTTP/1.1\r\nHost: "+r.Host+"\r\n"...)
+	for _, line := range r.Lines {
+		head = append(head, line[0]...)
+		head = append(head, ": "...)
+		head = append(head, line[1]...)
+		head = append(head, "\r\n"...)
+	}
+	if r.HasBody {
+		head = append(head, "Content-Length: "...)
+		head = strconv.AppendInt(head, int64(len(r.Body)), 10)
+		head = append(head, "\r\n"...)
+	}
+	r.head = head
+}
+
 // bytes writes the request for one backend.
 func (r *Request) bytes(left time.Duration, target parley.ServerID) (data []byte) {
-	if r.head == nil {
-		head := make([]byte, 0, 512)
-		head = append(head, r.Method+" "+r.Target+" HTTP/1.1\r\nHost: "+r.Host+"\r\n"...)
-		for _, line := range r.Lines {
-			head = append(head, line[0]...)
-			head = append(head, ": "...)
-			head = append(head, line[1]...)
-			head = append(head, "\r\n"...)
-		}
-		if r.HasBody {
-			head = append(head, "Content-Length: "...)
-			head = strconv.AppendInt(head, int64(len(r.Body)), 10)
-			head = append(head, "\r\n"...)
-		}
-		r.head = head
-	}
+	r.once.Do(r.prepare)
 	data = make([]byte, 0, len(r.head)+len(r.Body)+96)
 	data = append(data, r.head...)
 	data = append(data, headDeadline+": "...)
--- a/internal/passage/server.go
+++ b/internal/passage/server.go
@@ -20,6 +20,7 @@
 	dialSilence = 800 * time.Millisecond
 	outLeast    = 400 * time.Millisecond
 	outMost     = 4 * time.Second
+	doubtLeast  = 150 * time.Millisecond
 )
 
 // Server is a backend and its pool.
@@ -34,6 +35,8 @@
 	outTill  time.Duration
 	outSpan  time.Duration
 	burden   int
+	sentAt   time.Duration
+	heardAt  time.Duration
 	open     int
 	pace     float64
 	paceAt   time.Duration
@@ -157,6 +160,9 @@
 // begin and end bracket a round.
 func (s *Server) begin(now time.Duration) {
 	s.mu.Lock()
+	if s.burden == 0 {
+		s.sentAt = now
+	}
 	s.burden++
 	if now < s.coldTill+time.Second {
 		s.cold.Add(now)
@@ -168,6 +174,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.burden--
+	if outcome == Whole || outcome == Turned {
+		s.heardAt = now
+	}
 	switch outcome {
 	case Whole:
 		s.outSpan = 0
@@ -181,6 +190,23 @@
 	}
 }
 
+// doubted tells that the backend owes an answer for longer than is usual and
+// has said nothing at all meanwhile; it may have gone dark. The caller holds
+// the lock.
+func (s *Server) doubted(now time.Duration) bool {
+	if s.burden == 0 {
+		return false
+	}
+	return now-max(s.sentAt, s.heardAt) > doubtLeast+time.Duration(s.pace*float64(time.Millisecond))
+}
+
+// silentSince tells that nothing was heard from the backend since a moment.
+func (s *Server) silentSince(moment time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heardAt < moment
+}
+
 func (s *Server) learn(now time.Duration, took float64) {
 	if s.paceAt == 0 {
 		s.pace = took
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -25,9 +25,11 @@
 	Services map[parley.ServiceName][]*Server
 	Evacuate map[parley.SiteName]bool
 	Fellows  map[parley.FellowID]parley.Fellow
-	Started  bool
-	Listed   bool
-	Rev      uint64
+	// Sharers counts the daemons that share the backends now.
+	Sharers int
+	Started bool
+	Listed  bool
+	Rev     uint64
 }
 
 // World keeps it.
@@ -255,6 +257,9 @@
 	}
 	for id, fellow := range w.fellows {
 		scene.Fellows[id] = fellow
+		if fellow.Ready && !fellow.Stopping {
+			scene.Sharers++
+		}
 	}
 	scene.Started = !w.canon.Empty()
 	w.scene.Store(scene)
