--- /dev/null
+++ b/internal/docs/docs_test.go
@@ -0,0 +1,119 @@
+// Package docs holds the tests that keep the pages true: tables against the
+// code they describe, and examples as they are run.
+package docs
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"tinpin/internal/canon"
+	"tinpin/internal/events"
+	"tinpin/internal/problem"
+	"tinpin/internal/props"
+)
+
+func page(t *testing.T, name string) (text string) {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("..", "..", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func examples(text, kind string) (found []string) {
+	for _, match := range regexp.MustCompile("(?s)```json "+kind+"\n(.*?)```").FindAllStringSubmatch(text, -1) {
+		found = append(found, match[1])
+	}
+	return found
+}
+
+func TestEventsCatalogue(t *testing.T) {
+	text := page(t, "docs/events.md")
+	if rows := strings.Count(text, "\n| 1"); rows != len(events.Texts) {
+		t.Errorf("%d rows for %d events", rows, len(events.Texts))
+	}
+	for event, said := range events.Texts {
+		if !strings.Contains(text, fmt.Sprintf("| %d | %s |", event, said)) {
+			t.Errorf("event %d %q is not in the catalogue", event, said)
+		}
+	}
+}
+
+func TestErrorsTable(t *testing.T) {
+	text := page(t, "docs/errors.md")
+	for kind := problem.BadRequest; kind <= problem.NotStarted; kind++ {
+		answer := kind.Answer()
+		ran := "no"
+		if answer.Ran {
+			ran = "yes"
+		}
+		if !strings.Contains(text, fmt.Sprintf("| %d | %s | %s |", answer.Status, answer.Text, ran)) {
+			t.Errorf("problem %d (%d %q) is not in the table", kind, answer.Status, answer.Text)
+		}
+	}
+}
+
+func TestConfigurationExamples(t *testing.T) {
+	text := page(t, "docs/configuration.md")
+	config := canon.New()
+	calls, refused := examples(text, "call"), examples(text, "refused")
+	if len(calls) < 2 || len(refused) < 2 {
+		t.Fatal("the page has lost its examples")
+	}
+	for i, call := range calls {
+		if err := config.Apply([]byte(call), uint64(i+1)); err != nil {
+			t.Errorf("example %d: %v", i+1, err)
+		}
+	}
+	for i, call := range refused {
+		if config.Apply([]byte(call), 9) == nil {
+			t.Errorf("refused example %d was taken", i+1)
+		}
+	}
+	if config.View().Find("shop.example", "/hello/x") == nil || config.View().Find("shop.example", "/pay/x") != nil || config.View().Tenant("shop.example") == nil {
+		t.Error("the examples do not leave what the page says")
+	}
+}
+
+func TestSettingsExampleAndTable(t *testing.T) {
+	text := page(t, "docs/settings.md")
+	for _, example := range examples(text, "settings") {
+		if _, err := props.Parse([]byte(example)); err != nil {
+			t.Error(err)
+		}
+	}
+	source := page(t, "internal/props/props.go")
+	for _, match := range regexp.MustCompile(`r\.(?:text|number|span|address)\(v, "([a-z_.]+)"`).FindAllStringSubmatch(source, -1) {
+		if !strings.Contains(text, "`"+match[1]+"`") {
+			t.Errorf("setting %s is not in the table", match[1])
+		}
+	}
+}
+
+func TestPagesLinkToWhatThereIs(t *testing.T) {
+	pages, _ := filepath.Glob("../../docs/*.md")
+	for _, path := range append(pages, "../../README.md") {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, match := range regexp.MustCompile(`\]\(([^)#:]+)\)`).FindAllStringSubmatch(string(data), -1) {
+			if _, err = os.Stat(filepath.Join(filepath.Dir(path), match[1])); err != nil {
+				t.Errorf("%s links to %s, which is not there", path, match[1])
+			}
+		}
+	}
+}
+
+func TestTenantExamples(t *testing.T) {
+	for _, call := range examples(page(t, "docs/tenants.md"), "call") {
+		if err := canon.New().Apply([]byte(call), 1); err != nil {
+			t.Error(err)
+		}
+	}
+}
