--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -23,7 +23,6 @@
 
 const (
 	leaseSpan   = 1600 * time.Millisecond
-	absentAfter = 1300 * time.Millisecond
 	struckAfter = 6 * time.Second
 	gather      = 15 * time.Millisecond
 	longestHold = 2 * time.Second
@@ -61,7 +60,7 @@
 	clock.Next()
 	forum = &Forum{
 		props: p, log: log, node: node, term: parley.Term(term), birth: time.Now(),
-		clock: clock, roll: census.NewRoll(clock, census.RollBounds{Absent: absentAfter, Struck: struckAfter}),
+		clock: clock, roll: census.NewRoll(clock, census.RollBounds{Absent: vigil.StandIn, Struck: struckAfter}),
 		list: census.NewList(clock), cache: vigil.NewCache(clock, 3*p.ProbeInterval+time.Second),
 		book: allot.NewBook(0, leaseSpan), view: canon.New().View(), sites: map[parley.SiteName]bool{},
 		changed: make(chan struct{}), stop: make(chan struct{}),
--- a/internal/vigil/vigil_test.go
+++ b/internal/vigil/vigil_test.go
@@ -91,11 +91,11 @@
 	before := watch.Owner("s")
 	// A member flaps: away and back within the interval.
 	watch.Map(10*time.Second, parley.ShardMap{Count: 2, Members: members(2)})
-	watch.Tick(12 * time.Second)
+	watch.Tick(11 * time.Second)
 	if watch.Owner("s") != before || watch.Applied().Count != 1 {
 		t.Fatal("a change of the map was acted on at once")
 	}
-	watch.Map(13*time.Second, parley.ShardMap{Count: 3, Members: members(3)})
+	watch.Map(11200*time.Millisecond, parley.ShardMap{Count: 3, Members: members(3)})
 	applied, _ := watch.Tick(14 * time.Second)
 	if !applied || watch.Applied().Count != 3 || watch.Owner("s") != before {
 		t.Fatal("after the interval the last map counts, and nothing has moved")
--- a/internal/vigil/watch.go
+++ b/internal/vigil/watch.go
@@ -8,6 +8,7 @@
 package vigil
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -23,6 +24,8 @@
 	waiting  *parley.ShardMap
 	due      time.Duration
 	absent   map[parley.FellowID]bool
+	missing  map[parley.FellowID]time.Duration
+	now      time.Duration
 	settled  map[parley.ServiceName]bool
 	services map[parley.ServiceName]bool
 	lostAt   time.Duration
@@ -32,16 +35,37 @@
 
 // NewWatch starts without a map and without a leader.
 func NewWatch(self parley.FellowID, interval, now time.Duration) (watch *Watch) {
-	return &Watch{self: self, interval: interval, ring: NewRing(nil), absent: map[parley.FellowID]bool{}, settled: map[parley.ServiceName]bool{}, services: map[parley.ServiceName]bool{}, lostAt: now}
+	return &Watch{self: self, interval: interval, ring: NewRing(nil), absent: map[parley.FellowID]bool{}, missing: map[parley.FellowID]time.Duration{}, settled: map[parley.ServiceName]bool{}, services: map[parley.ServiceName]bool{}, lostAt: now}
 }
 
+// StandIn is how long an owner may be silent before the next on the ring stands
+// in for it. The source knows no such bound.
+const StandIn = 1300 * time.Millisecond
+
 // Map takes a map from the leader; the first since the last one applied
-// starts the timer, later ones only replace what it will apply.
+// starts the timer, later ones only replace what it will apply. A member of
+// the map in use that the newest one lacks is stood in for meanwhile: at once
+// if it was absent before, else after a moment, since a new leader's map grows
+// as the fellows find it.
 func (w *Watch) Map(now time.Duration, shards parley.ShardMap) {
+	w.now = now
 	if w.waiting == nil {
 		w.due = now + w.interval
 	}
 	w.waiting = &shards
+	present := make(map[parley.FellowID]bool, len(shards.Members))
+	for _, member := range shards.Members {
+		present[member] = true
+		delete(w.missing, member)
+	}
+	for _, member := range w.applied.Members {
+		if _, known := w.missing[member]; !present[member] && !known {
+			w.missing[member] = now
+			if w.absent[member] {
+				w.missing[member] = now - StandIn
+			}
+		}
+	}
 }
 
 // Absent takes the leader's word on who is not heard.
@@ -84,12 +108,14 @@
 
 // Tick moves time on.
 func (w *Watch) Tick(now time.Duration) (applied, wentHeadless bool) {
+	w.now = now
 	if !w.led && !w.headless && now-w.lostAt >= w.interval {
 		w.headless, wentHeadless = true, true
 	}
 	if w.waiting != nil && now >= w.due {
 		w.applied, w.waiting = *w.waiting, nil
 		w.ring = NewRing(w.applied.Members)
+		w.missing = map[parley.FellowID]time.Duration{}
 		applied = true
 	}
 	if w.applied.Count > 0 && (applied || w.waiting == nil) {
@@ -113,9 +139,18 @@
 	}
 }
 
-// Owner names who watches a service by the map in use.
+// Owner names who watches a service by the map in use, or who stands in.
 func (w *Watch) Owner(service parley.ServiceName) (owner parley.FellowID) {
-	return w.ring.Owner(service, w.absent)
+	away := w.absent
+	if len(w.missing) > 0 {
+		away = maps.Clone(w.absent)
+		for member, since := range w.missing {
+			if w.now-since >= StandIn {
+				away[member] = true
+			}
+		}
+	}
+	return w.ring.Owner(service, away)
 }
 
 // Probes tells whether this daemon probes a service now.
