--- /dev/null
+++ b/cmd/tinpin/main_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestCommandLine(t *testing.T) {
+	folder := t.TempDir()
+	bad := filepath.Join(folder, "bad.json")
+	if err := os.WriteFile(bad, []byte(`{"name":"x"}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("TINPIN_CONFIG", "")
+	cases := map[string]struct {
+		args []string
+		code int
+		says string
+	}{
+		"help":             {[]string{"help"}, 0, "tinpin status"},
+		"version":          {[]string{"version"}, 0, Version},
+		"nothing":          {nil, 2, "no command"},
+		"unknown":          {[]string{"proxy"}, 2, `unknown command "proxy"`},
+		"too much":         {[]string{"version", "now"}, 2, "takes 0 argument(s), not 1"},
+		"no file":          {[]string{"check-props"}, 2, "takes 1 argument(s)"},
+		"bad file":         {[]string{"check-props", bad}, 2, "seeds must name one daemon or more"},
+		"absent file":      {[]string{"check-props", bad + "x"}, 2, "no such file"},
+		"role, no props":   {[]string{"passage"}, 2, "TINPIN_CONFIG"},
+		"unknown flag":     {[]string{"status", "-colour"}, 2, "colour"},
+		"unknown kind":     {[]string{"trace", "thing", "x"}, 2, `unknown kind "thing"`},
+		"nobody there":     {[]string{"status", "-at", "127.0.0.1:1"}, 1, "no accord daemon can be reached"},
+		"no log":           {[]string{"trace", "-logs", bad + "x", "item", "routes/r"}, 1, "no such file"},
+		"nothing in a log": {[]string{"trace", "-logs", bad, "item", "routes/r"}, 1, `no log line tells of a item named "routes/r"`},
+	}
+	for name, c := range cases {
+		var out, bad bytes.Buffer
+		code := run(c.args, &out, &bad)
+		said := out.String() + bad.String()
+		if code != c.code || !strings.Contains(said, c.says) {
+			t.Errorf("%s: code %d, said %q", name, code, said)
+		}
+		if code != 0 && strings.Count(strings.TrimSpace(said), "\n") > 0 {
+			t.Errorf("%s: more than one line: %q", name, said)
+		}
+	}
+}
+
+func TestTraceFromLogs(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	lines := `{"level":"info","ts":"2026-01-01T00:00:02.000Z","msg":"change seen on this daemon","daemon":"edge-1","event":122,"kind":"item","name":"routes/r1","what":"applied","stamp":"7","rev":12}
+12.5 edge-2 {"level":"info","ts":"2026-01-01T00:00:01.000Z","daemon":"core-1","event":122,"kind":"item","name":"routes/r1","what":"applied","stamp":"7","rev":12}
+{"ts":"2026-01-01T00:00:03.000Z","daemon":"edge-1","event":122,"kind":"item","name":"routes/r2","what":"applied","stamp":"1","rev":13}
+`
+	if err := os.WriteFile(path, []byte(lines), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, bad bytes.Buffer
+	if code := run([]string{"trace", "-logs", path, "item", "routes/r1"}, &out, &bad); code != 0 {
+		t.Fatal(bad.String())
+	}
+	if first, second := strings.Index(out.String(), "core-1"), strings.Index(out.String(), "edge-1"); first < 0 || second < first || strings.Contains(out.String(), "r2") {
+		t.Fatal(out.String())
+	}
+}
--- /dev/null
+++ b/internal/census/census_test.go
@@ -0,0 +1,115 @@
+package census
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"tinpin/internal/parley"
+)
+
+func TestLedgerTellsOnlyWhatCameAfter(t *testing.T) {
+	clock := &Clock{}
+	ledger := NewLedger[string, int](clock)
+	since := func(epoch parley.Epoch) (told string) {
+		for _, key := range []string{"a", "b", "c"} {
+			ledger.Since(epoch, func(k string, value int, gone bool) {
+				if k == key {
+					told += fmt.Sprint(k, value, gone, " ")
+				}
+			})
+		}
+		return told
+	}
+	ledger.Set("a", 1)
+	ledger.Set("b", 2)
+	seen := clock.Now()
+	if ledger.Set("a", 1) || clock.Now() != seen {
+		t.Fatal("the same value is no change")
+	}
+	ledger.Set("c", 3)
+	ledger.Drop("a")
+	if got := since(seen); got != "a1 true c3 false " {
+		t.Fatalf("since %d: %q", seen, got)
+	}
+	if got := since(0); got != "b2 false c3 false " {
+		t.Fatalf("to a newcomer: %q", got)
+	}
+}
+
+func TestRoll(t *testing.T) {
+	roll := NewRoll(&Clock{}, RollBounds{Absent: time.Second, Struck: 5 * time.Second})
+	roll.Beat(0, parley.Fellow{ID: "a"})
+	roll.Beat(0, parley.Fellow{ID: "b"})
+	roll.Beat(2*time.Second, parley.Fellow{ID: "b"})
+	roll.Tick(2 * time.Second)
+	if len(roll.Absent()) != 1 || roll.Here("a") || len(roll.Members()) != 2 {
+		t.Fatal("a silent fellow is absent and stays in the map for now")
+	}
+	roll.Beat(2500*time.Millisecond, parley.Fellow{ID: "b", Stopping: true})
+	if len(roll.Members()) != 1 || len(roll.Absent()) != 2 {
+		t.Fatal("a stopping fellow leaves the map and is told absent at once")
+	}
+	roll.Tick(6 * time.Second)
+	if len(roll.Members()) != 0 {
+		t.Fatal("a long silent fellow is struck off")
+	}
+}
+
+func TestList(t *testing.T) {
+	list := NewList(&Clock{})
+	server := func(id string, draining bool) parley.Server {
+		return parley.Server{ID: parley.ServerID(id), Service: "s", Address: "x:1", Draining: draining}
+	}
+	has := func(id string) bool { _, known := list.Servers.Get(parley.ServerID(id)); return known }
+	list.Merge([]parley.Server{server("a", false), server("b", false)})
+	list.Merge([]parley.Server{server("a", true)})
+	if !has("b") {
+		t.Fatal("one walk without an entry is not its end")
+	}
+	list.Merge([]parley.Server{server("a", false)})
+	if a, _ := list.Servers.Get("a"); has("b") || !a.Draining {
+		t.Fatal("two walks without it are; what drains does not come back")
+	}
+	list.Merge(nil)
+	if has("a") {
+		t.Fatal("a draining entry is gone with the first walk without it")
+	}
+}
+
+func TestWalkIsWholeOrNothing(t *testing.T) {
+	page := func(id, next string) string {
+		return fmt.Sprintf(`{"instances":{"column_names":["service_name","address","zone","state","cold_remaining","instance_id","capacity_slots"],"row_values":[["s","1.2.3.4:5","a","ready","1500ms",%q,3]]},"next_page_token":%s}`, id, next)
+	}
+	broken := false
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Query().Get("page_token") {
+		case "":
+			_, _ = fmt.Fprint(w, page("i-1", `"p 2"`))
+		case "p 2":
+			if broken {
+				w.WriteHeader(http.StatusTooManyRequests)
+				return
+			}
+			_, _ = fmt.Fprint(w, page("i-2", "null"))
+		}
+	}))
+	defer platform.Close()
+	caller := NewPlatform(strings.TrimPrefix(platform.URL, "http://"))
+	servers, pages, err := caller.Walk(0)
+	if err != nil || pages != 2 || len(servers) != 2 || servers[1].ID != "i-2" || servers[0].Cold != 1500*time.Millisecond || servers[0].Slots != 3 {
+		t.Fatal(servers, pages, err)
+	}
+	broken = true
+	if servers, _, err = caller.Walk(0); err == nil || servers != nil {
+		t.Fatal("a walk that broke off gave something")
+	}
+	for _, body := range []string{"", "{}", `{"instances":{"column_names":["a"],"row_values":[[1,2]]}}`, page("", "null")} {
+		if _, _, err = ReadPage([]byte(body)); err == nil {
+			t.Errorf("%q was read", body)
+		}
+	}
+}
--- a/internal/passage/daemon.go
+++ b/internal/passage/daemon.go
@@ -94,7 +94,11 @@
 	ticker := time.NewTicker(250 * time.Millisecond)
 	defer ticker.Stop()
 	for turn := 0; ; turn++ {
-		<-ticker.C
+		select {
+		case <-ticker.C:
+		case <-d.link.Ended:
+			return
+		}
 		d.wake()
 		if turn%4 == 0 {
 			d.world.Sweep()
@@ -132,14 +136,16 @@
 			break
 		}
 	}
-	d.door.Close()
+	d.door.Shut()
 	for spent := time.Duration(0); d.door.AtWork() > 0 && d.clock.Now()-begun < grace-150*time.Millisecond; spent++ {
 		time.Sleep(10 * time.Millisecond)
 	}
 	for _, server := range d.offices {
 		_ = server.Close()
 	}
+	d.door.Close()
 	d.inner.Close()
+	close(d.link.Ended)
 }
 
 // Desk takes inner calls of fellows.
--- a/internal/passage/door.go
+++ b/internal/passage/door.go
@@ -39,11 +39,13 @@
 	most     int64
 	room     atomic.Int64
 	listener net.Listener
+	mu       sync.Mutex
+	streams  map[net.Conn]bool
 }
 
 // NewDoor answers with a function; most streams and bytes of bodies at once.
 func NewDoor(answer func(*Request, string) Verdict, view func() *canon.View, most int, room int64) (door *Door) {
-	door = &Door{answer: answer, view: view, most: int64(most)}
+	door = &Door{answer: answer, view: view, most: int64(most), streams: map[net.Conn]bool{}}
 	door.room.Store(room)
 	return door
 }
@@ -83,8 +85,17 @@
 // AtWork counts requests that are read and not yet answered.
 func (d *Door) AtWork() int64 { return d.atWork.Load() }
 
-// Close stops listening.
-func (d *Door) Close() { _ = d.listener.Close() }
+// Shut stops listening.
+func (d *Door) Shut() { _ = d.listener.Close() }
+
+// Close ends the streams that are still open.
+func (d *Door) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for conn := range d.streams {
+		_ = conn.Close()
+	}
+}
 
 type turn struct {
 	verdict chan Verdict
@@ -113,7 +124,15 @@
 
 // welcome serves one client stream.
 func (d *Door) welcome(conn net.Conn) {
-	defer d.open.Add(-1)
+	d.mu.Lock()
+	d.streams[conn] = true
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		delete(d.streams, conn)
+		d.mu.Unlock()
+		d.open.Add(-1)
+	}()
 	turns := make(chan *turn, pipeline)
 	var pending sync.WaitGroup
 	var broken, closing atomic.Bool
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -52,6 +52,8 @@
 
 	// Taken is called when news was taken.
 	Taken func()
+	// Ended is closed when the daemon ends; all duties end with it.
+	Ended chan struct{}
 	// Limits tells the demand of tenants, where there are any.
 	Limits *Limits
 
@@ -65,7 +67,7 @@
 	link = &Link{
 		props: p, log: log, clock: clock, world: world, keys: book, life: life, self: self,
 		claims: make(chan claimWish, claimRing), calls: make(chan struct{}, claimCalls), stir: make(chan struct{}, 1),
-		callers: map[string]*parley.Caller{}, frees: map[parley.KeyClaim]bool{},
+		Ended: make(chan struct{}), callers: map[string]*parley.Caller{}, frees: map[parley.KeyClaim]bool{},
 	}
 	link.heard.Store(int64(-time.Hour))
 	nobody := ""
@@ -98,6 +100,15 @@
 	}
 }
 
+func (l *Link) ended() bool {
+	select {
+	case <-l.Ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // candidates lists the cores that may lead.
 func (l *Link) candidates() (inners []string) {
 	seen := map[string]bool{"": true}
@@ -152,7 +163,7 @@
 
 // Beat is the duty that keeps the tie.
 func (l *Link) Beat() {
-	for {
+	for !l.ended() {
 		target := *l.leader.Load()
 		if target == "" || !l.Led() {
 			l.seek("", 0)
@@ -217,7 +228,7 @@
 		return
 	}
 	platform := census.NewPlatform(l.props.PlatformAddress)
-	for {
+	for !l.ended() {
 		time.Sleep(500 * time.Millisecond)
 		if l.Led() {
 			continue
@@ -298,6 +309,8 @@
 		case first := <-l.claims:
 			batch = append(batch, first)
 		case <-l.stir:
+		case <-l.Ended:
+			return
 		}
 		l.calls <- struct{}{}
 		for more := true; more && len(batch) < 128; {
--- a/internal/passage/probe.go
+++ b/internal/passage/probe.go
@@ -58,8 +58,13 @@
 func (p *Prober) Run() {
 	ticker := time.NewTicker(p.daemon.props.ProbeInterval / probePhases)
 	defer ticker.Stop()
-	for range ticker.C {
-		p.turn()
+	for {
+		select {
+		case <-ticker.C:
+			p.turn()
+		case <-p.daemon.link.Ended:
+			return
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/props/props_test.go
@@ -0,0 +1,101 @@
+package props
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fastjson"
+)
+
+const good = `{"name":"edge-1","address":"10.1.0.13","site":"a","region":"north","regions":{"a":"north"},"first_start":true,"data":"",
+"listen":{"frontend":"10.1.0.13:8161"},"inner_ports":[7720,7735],"seeds":["10.1.0.15:8166"],"memory_mb":284,"bounds":{"drain":"2500ms","retry_budget_ratio":0.2},"send_interval":"4s","something_new":[1,{"x":2}]}`
+
+func TestParse(t *testing.T) {
+	p, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.Bounds.Drain != 2500*time.Millisecond || p.SendInterval != 4*time.Second || p.ProbeInterval != time.Second || p.Inner("accord") != "10.1.0.13:7720" || p.Inner("passage") != "10.1.0.13:7721" || p.Accord(p.Seeds[0]) != "10.1.0.15:7720" {
+		t.Fatalf("%+v", p)
+	}
+}
+
+// Each bad field is named, all of them in one line.
+func TestBadFieldsAreNamed(t *testing.T) {
+	bad := map[string][2]string{
+		"name":                {`"edge-1"`, `""`},
+		"address":             {`"10.1.0.13","site"`, `"here","site"`},
+		"listen.frontend":     {`"10.1.0.13:8161"`, `"10.1.0.13"`},
+		"inner_ports":         {`[7720,7735]`, `[7735,7720]`},
+		"seeds":               {`["10.1.0.15:8166"]`, `[]`},
+		"seeds.0":             {`["10.1.0.15:8166"]`, `["10.1.0.15"]`},
+		"memory_mb":           {`284`, `"much"`},
+		"bounds.drain":        {`"2500ms"`, `"2500"`},
+		"send_interval":       {`"4s"`, `4`},
+		"bounds.retry_budget": {`0.2`, `-1`},
+	}
+	all := good
+	for field, change := range bad {
+		text := strings.Replace(good, change[0], change[1], 1)
+		_, err := Parse([]byte(text))
+		if err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", field, err)
+		}
+		all = strings.Replace(all, change[0], change[1], 1)
+	}
+	if _, err := Parse([]byte(all)); err == nil || strings.Count(err.Error(), ";") < 6 {
+		t.Errorf("not all findings are told: %v", err)
+	}
+	for _, text := range []string{"", "[]", "{", `{"name":1}`} {
+		if _, err := Parse([]byte(text)); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+}
+
+// The template of the deploy file, filled by hand, is a good settings file.
+func TestDeployTemplate(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join("..", "..", "deploy", "props.tmpl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := map[string]string{
+		"node_name": `"core-1"`, "ip_address": `"10.0.0.1"`, "zone": `"a"`, "region": `"n"`, "zones": `{"a":"n"}`, "first_start": `true`, "data_directory": `"/data"`,
+		"listen_addresses": `{"control_plane":"10.0.0.1:8166"}`, "internal_port_range": `[7720,7735]`, "seed_nodes": `["10.0.0.1:8166"]`,
+		"limits.memory_mb": `280`, "limits.max_file_descriptors": `4096`, "cloud_api.address": `"10.9.0.1:80"`, "cloud_api.rate_per_s": `44.0`, "bounds": `{"drain":"2s"}`,
+	}
+	for _, with := range []bool{true, false} {
+		text := string(raw)
+		for _, name := range []string{"data_directory", "cloud_api.address"} {
+			from, to := "{{#"+name+"}}", "{{/"+name+"}}"
+			otherFrom, otherTo := "{{^"+name+"}}", "{{/"+name+"}}"
+			cut := func(open, end string, keep bool) {
+				start := strings.Index(text, open)
+				stop := start + strings.Index(text[start:], end)
+				inner := ""
+				if keep {
+					inner = text[start+len(open) : stop]
+				}
+				text = text[:start] + inner + text[stop+len(end):]
+			}
+			cut(from, to, with)
+			cut(otherFrom, otherTo, !with)
+		}
+		for name, value := range values {
+			text = strings.ReplaceAll(text, "{{"+name+"|json}}", value)
+		}
+		if err = fastjson.Validate(text); err != nil {
+			t.Fatalf("%v in %s", err, text)
+		}
+		p, parseErr := Parse([]byte(text))
+		if parseErr != nil {
+			t.Fatal(parseErr)
+		}
+		if with && (p.Data != "/data" || p.PlatformAddress != "10.9.0.1:80") || !with && (p.Data != "" || p.PlatformAddress != "") {
+			t.Fatalf("%+v", p)
+		}
+	}
+}
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -35,6 +36,15 @@
 	ID, Service, Address, Site string
 	Runs                       atomic.Int64
 	server                     *http.Server
+	mu                         sync.Mutex
+	keys                       map[string]int
+}
+
+// Keys tells how often each operation key ran.
+func (b *Backend) Keys() (runs map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.keys)
 }
 
 // ServeHTTP answers as the protocol has it.
@@ -53,6 +63,11 @@
 	}
 	body, _ := io.ReadAll(r.Body)
 	run := b.Runs.Add(1)
+	if key := r.Header.Get("Tinpin-Operation-Key"); key != "" {
+		b.mu.Lock()
+		b.keys[key]++
+		b.mu.Unlock()
+	}
 	w.Header().Set("Tinpin-Response-Signature", fmt.Sprintf("%s.%d", b.ID, run))
 	_, _ = fmt.Fprintf(w, "%s %s ran on %s (%d bytes)\n", r.Method, r.URL.Path, b.ID, len(body))
 }
@@ -90,7 +105,7 @@
 func Start(folder string, hosts func(n int) string) (stage *Stage, err error) {
 	stage = &Stage{Cores: map[string]*council.Council{}, Edges: map[string]*passage.Daemon{}, hosts: hosts, draining: map[string]bool{}}
 	for i, service := range []string{"hello", "hello", "ledger", "ledger"} {
-		backend := &Backend{ID: fmt.Sprint("i-", i+1), Service: service, Address: hosts(40+i) + ":18080", Site: "harbour"}
+		backend := &Backend{ID: fmt.Sprint("i-", i+1), Service: service, Address: hosts(40+i) + ":18080", Site: "harbour", keys: map[string]int{}}
 		if backend.server, err = serve(backend.Address, backend); err != nil {
 			return nil, err
 		}
--- a/internal/stage/stage_test.go
+++ b/internal/stage/stage_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -99,3 +101,79 @@
 		t.Fatalf("a daemon that is gone must be named:\n%s", out.String())
 	}
 }
+
+// Clients send each key several times, to both edges at once, while the
+// leader is stopped and a backend drains: no key runs twice, and a success is
+// always the first run's.
+func TestKeysRunOnceThroughTheLossOfALeader(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	hosts := Hosts()
+	stage, err := Start(t.TempDir(), func(n int) string { return hosts(100 + n) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stage.Close()
+	if status, answer, callErr := stage.Operator(ctx, "POST", "/-/Config.Update", FirstCall); callErr != nil || status != 200 {
+		t.Fatal(status, answer, callErr)
+	}
+	if err = stage.Ready(ctx); err != nil {
+		t.Fatal(err)
+	}
+	fleet, err := lens.Look(stage.Inner())
+	if err != nil || fleet.Leader() == nil {
+		t.Fatal("no leader", err)
+	}
+	const keys, tries = 150, 4
+	var mu sync.Mutex
+	stamps := map[string]map[string]bool{}
+	promises := 0
+	var clients sync.WaitGroup
+	stop := make(chan struct{})
+	for worker := range 10 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			for n := worker; n < keys*tries; n += 10 {
+				if n == keys*tries/3 {
+					close(stop)
+				}
+				key := fmt.Sprint("k-", n%keys)
+				status, stamp, _, askErr := stage.Ask(ctx, n%2, "POST", "/pay/x", key)
+				mu.Lock()
+				if askErr == nil && status == 200 {
+					if stamps[key] == nil {
+						stamps[key] = map[string]bool{}
+					}
+					stamps[key][stamp] = true
+				} else if status == 503 {
+					promises++
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	<-stop
+	stage.Drain("i-3")
+	stage.StopCore(fleet.Leader().Name)
+	clients.Wait()
+	runs := map[string]int{}
+	for _, backend := range stage.Backends {
+		for key, count := range backend.Keys() {
+			runs[key] += count
+		}
+	}
+	for key, count := range runs {
+		if count > 1 {
+			t.Errorf("%s ran %d times", key, count)
+		}
+	}
+	for key, seen := range stamps {
+		if len(seen) > 1 {
+			t.Errorf("%s was answered with different stamps: %v", key, seen)
+		}
+	}
+	if len(stamps) < keys/2 {
+		t.Fatalf("only %d of %d keys were served (%d refusals)", len(stamps), keys, promises)
+	}
+}
