--- a/internal/census/roll.go
+++ b/internal/census/roll.go
@@ -75,6 +75,9 @@
 	return absent
 }
 
+// Count is how many fellows are on the roll.
+func (r *Roll) Count() (count int) { return len(r.seen) }
+
 // Here tells whether a fellow is heard.
 func (r *Roll) Here(id parley.FellowID) bool {
 	seen := r.seen[id]
--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -25,6 +25,8 @@
 	leaseSpan   = 1600 * time.Millisecond
 	struckAfter = 6 * time.Second
 	gather      = 15 * time.Millisecond
+	gatherEach  = 500 * time.Microsecond
+	gatherMost  = 250 * time.Millisecond
 	longestHold = 2 * time.Second
 )
 
@@ -262,9 +264,11 @@
 		}
 		f.mu.Lock()
 	}
+	present := time.Duration(f.roll.Count())
 	f.mu.Unlock()
-	// What comes together goes out together.
-	time.Sleep(gather)
+	// What comes together goes out together; in a large fleet, where each
+	// change goes to many, more of it is waited for.
+	time.Sleep(gather + min(present*gatherEach, gatherMost))
 	f.mu.Lock()
 	f.tell(ask, news)
 	f.mu.Unlock()
--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -238,7 +238,7 @@
 	case kind == problem.None:
 		d.store(op, plan, verdict)
 		return verdict
-	case plan.MayHaveRun:
+	case plan.MayHaveRun && !(kind == problem.Broken && d.dedupes(plan.Service)):
 		d.keys.Lose(op)
 	default:
 		d.keys.Free(op)
@@ -247,6 +247,13 @@
 	return Deny(kind, request.ID)
 }
 
+// dedupes tells that a service keeps its own record of keys, so that a run that
+// broke off may be followed by another under the same key.
+func (d *Daemon) dedupes(name parley.ServiceName) bool {
+	service := d.world.Scene().View.Services[string(name)]
+	return service != nil && service.Dedupes
+}
+
 // store keeps the answer of an operation for repeats. Only the homes of a way
 // may store its answers; elsewhere the answer is handed to a fellow there.
 func (d *Daemon) store(op *keys.Held, plan *Plan, verdict Verdict) {
--- /dev/null
+++ b/internal/passage/keyed_test.go
@@ -0,0 +1,176 @@
+package passage
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tinpin/internal/parley"
+)
+
+// standInForum answers claims by a script, and as a fellow that holds keys.
+type standInForum struct {
+	mu     sync.Mutex
+	claims int
+	freed  []parley.KeyClaim
+	script func(n int, claim parley.KeyClaim) parley.ClaimFound
+	recall func(n int) parley.RecallReply
+	asked  int
+}
+
+func (f *standInForum) Claim(ask parley.ClaimAsk, reply *parley.ClaimReply) (err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freed = append(f.freed, ask.Frees...)
+	reply.Leader, reply.Freed = true, true
+	for _, claim := range ask.Claims {
+		f.claims++
+		reply.Found = append(reply.Found, f.script(f.claims, claim))
+	}
+	return nil
+}
+
+func (f *standInForum) Recall(_ parley.RecallAsk, reply *parley.RecallReply) (err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked++
+	*reply = f.recall(f.asked)
+	return nil
+}
+
+var ports atomic.Int32
+
+// led ties a daemon to a stand-in for the leader.
+func led(t *testing.T, d *Daemon, forum *standInForum) (inner string) {
+	t.Helper()
+	inner = fmt.Sprintf("127.%d.%d.1:%d", 128+os.Getpid()>>8&63, os.Getpid()&255, 20000+ports.Add(1))
+	served, err := parley.Serve(inner, map[string]any{"Forum": forum, "Fellow": forum})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(served.Close)
+	d.link.leader.Store(&inner)
+	d.link.heard.Store(int64(d.clock.Now() + time.Hour))
+	d.nap = time.Millisecond
+	go d.link.Claims()
+	t.Cleanup(func() { close(d.link.Ended) })
+	return inner
+}
+
+func keyed(id, key string) *Request {
+	r := request("POST", "/key/x", id)
+	r.Lines = append(r.Lines, Line{headKey, key})
+	return r
+}
+
+func grant(int, parley.KeyClaim) parley.ClaimFound {
+	return parley.ClaimFound{Outcome: parley.Granted}
+}
+
+func TestARepeatGetsTheFirstAnswer(t *testing.T) {
+	backend := newStandIn(t, "i-1", good)
+	d := daemonOf(t, backend)
+	led(t, d, &standInForum{script: grant})
+	first := d.Answer(keyed("a", "k"), "2500")
+	again := d.Answer(keyed("b", "k"), "2500")
+	if first.Status != 200 || again.Status != 200 || string(again.Body) != "body of a" || backend.count() != 1 {
+		t.Fatalf("%d %d %q, %d runs", first.Status, again.Status, again.Body, backend.count())
+	}
+	for _, line := range again.Lines {
+		if line[0] == headRequest && line[1] != "b" || line[0] == headStamp && line[1] != "stamp-a" {
+			t.Fatalf("the repeat carries %v", line)
+		}
+	}
+}
+
+// An outcome that is not known frees a key only where the service keeps its
+// own record of keys; one that is proven not to have run always does.
+func TestWhatBecomesOfAKeyWhoseRunFailed(t *testing.T) {
+	broken := func(int, seen, net.Conn) bool { return false }
+	turned := func(_ int, r seen, conn net.Conn) bool {
+		_, err := conn.Write([]byte(answer(503, r.ID, "", headNotRun+": 1")))
+		return err == nil
+	}
+	for name, c := range map[string]struct {
+		script   func(int, seen, net.Conn) bool
+		dedupes  bool
+		status   int
+		standing parley.Standing
+	}{
+		"broken":             {broken, false, 502, parley.Lost},
+		"broken, own record": {broken, true, 502, parley.Freed},
+		"turned away":        {turned, false, 503, parley.Freed},
+	} {
+		backend := newStandIn(t, "i-1", c.script)
+		d := daemonOf(t, backend)
+		led(t, d, &standInForum{script: grant})
+		d.world.Scene().View.Services["s"].Dedupes = c.dedupes
+		if verdict := d.Answer(keyed("a", "k"), "2500"); verdict.Status != c.status {
+			t.Errorf("%s: status %d", name, verdict.Status)
+		}
+		if standing := d.keys.Find("k", "a").Standing; standing != c.standing {
+			t.Errorf("%s: standing %d, want %d", name, standing, c.standing)
+		}
+		runs := backend.count()
+		if verdict := d.Answer(keyed("b", "k"), "2500"); c.standing == parley.Lost && (verdict.Status != 503 || backend.count() != runs) {
+			t.Errorf("%s: a repeat got %d after %d runs", name, verdict.Status, backend.count())
+		}
+	}
+}
+
+func TestAKeyHeldElsewhere(t *testing.T) {
+	stored := parley.RecallReply{Standing: parley.Answered, Status: 200, Header: [][2]string{{headStamp, "first"}}, Body: []byte("first body")}
+	for name, c := range map[string]struct {
+		recall func(int) parley.RecallReply
+		status int
+		runs   int
+	}{
+		"answered": {func(int) parley.RecallReply { return stored }, 200, 0},
+		"running":  {func(int) parley.RecallReply { return parley.RecallReply{Standing: parley.Running} }, 409, 0},
+		"lost":     {func(int) parley.RecallReply { return parley.RecallReply{Standing: parley.Lost} }, 503, 0},
+		"freed":    {func(int) parley.RecallReply { return parley.RecallReply{Standing: parley.Freed} }, 200, 1},
+	} {
+		backend := newStandIn(t, "i-1", good)
+		d := daemonOf(t, backend)
+		forum := &standInForum{recall: c.recall}
+		inner := led(t, d, forum)
+		forum.script = func(n int, _ parley.KeyClaim) parley.ClaimFound {
+			if name == "freed" && n > 1 {
+				return parley.ClaimFound{Outcome: parley.Granted}
+			}
+			return parley.ClaimFound{Outcome: parley.Held, Holder: "edge-2", Inner: inner, Life: 7, Request: "z"}
+		}
+		verdict := d.Answer(keyed("a", "k"), "2500")
+		if verdict.Status != c.status || backend.count() != c.runs {
+			t.Errorf("%s: status %d after %d runs", name, verdict.Status, backend.count())
+		}
+		if name == "answered" && string(verdict.Body) != "first body" {
+			t.Errorf("%s: %q", name, verdict.Body)
+		}
+	}
+}
+
+// A claim without a clear outcome may stand. Nothing is sent under it, the
+// promise of a 503 is kept, and the key is given back.
+func TestAnUnclearClaimIsGivenBack(t *testing.T) {
+	backend := newStandIn(t, "i-1", good)
+	d := daemonOf(t, backend)
+	forum := &standInForum{script: func(int, parley.KeyClaim) parley.ClaimFound { return parley.ClaimFound{Outcome: parley.Unclear} }}
+	led(t, d, forum)
+	if verdict := d.Answer(keyed("a", "k"), "300"); verdict.Status != 503 || backend.count() != 0 {
+		t.Fatalf("status %d after %d runs", verdict.Status, backend.count())
+	}
+	if d.keys.Find("k", "a").Standing != parley.Freed {
+		t.Fatal("a fellow that asks must be told that the key is free")
+	}
+	for freed := false; !freed; {
+		_ = d.link.Claim(parley.KeyClaim{Key: "other", Request: "x"}, 0, 30*time.Millisecond)
+		forum.mu.Lock()
+		freed = len(forum.freed) > 0 && forum.freed[0] == parley.KeyClaim{Key: "k", Request: "a"}
+		forum.mu.Unlock()
+	}
+}
