Throttle a service by how late its answers come, lower ranks first

Ruled out: refusing by slots (the edges do not know each other's burden). Now each edge lowers what it has at work at a service while many answers come past 0.6 of their aim, and lower ranks find it full sooner.

--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -92,8 +92,27 @@
 	return verdict
 }
 
-// carry goes through the rounds of a plan.
+// carry goes through the rounds of a plan, once the throttle lets it.
 func (d *Daemon) carry(plan *Plan) (verdict Verdict, kind problem.Kind) {
+	throttle := d.throttles.of(string(plan.Service))
+	for !throttle.Enter(plan.Way.Priority) {
+		if !d.mayWait(plan) {
+			return verdict, plan.refusal(problem.NoRoom)
+		}
+		time.Sleep(roomPause)
+	}
+	defer throttle.Leave()
+	return d.rounds(plan, throttle)
+}
+
+// mayWait tells whether a request may look for room once more, so that a
+// refusal still lets the client come back in time.
+func (d *Daemon) mayWait(plan *Plan) bool {
+	return d.clock.Now()+roomPause < min(plan.Started+plan.Way.Aim/6, plan.Till)
+}
+
+// rounds sends a plan's request until there is an answer or a problem.
+func (d *Daemon) rounds(plan *Plan, throttle *Throttle) (verdict Verdict, kind problem.Kind) {
 	arrived := 0
 	for {
 		now := d.clock.Now()
@@ -103,7 +122,7 @@
 		scene := d.world.Scene()
 		server, any := d.world.choose(scene, Wanted{Service: plan.Service, Homes: plan.Way.Homes, Tried: plan.Tried})
 		if server == nil {
-			if any && now+roomPause < plan.Started+plan.Way.Aim/4 {
+			if any && d.mayWait(plan) {
 				time.Sleep(roomPause)
 				continue
 			}
@@ -116,6 +135,9 @@
 			return verdict, plan.refusal(problem.NoRoom)
 		}
 		round, answering := d.round(plan, server, &arrived)
+		if round.Outcome == Whole {
+			throttle.Learn(d.clock.Now()-now, plan.Way.Aim)
+		}
 		step, problemKind := plan.Learn(d.clock.Now(), answering.ID, round)
 		switch step {
 		case GiveAnswer:
--- a/internal/passage/daemon.go
+++ b/internal/passage/daemon.go
@@ -23,22 +23,23 @@
 
 // Daemon is a running passage daemon.
 type Daemon struct {
-	props    props.Props
-	log      *events.Log
-	clock    Clock
-	life     parley.Life
-	nap      time.Duration
-	world    *World
-	link     *Link
-	keys     *keys.Book
-	budget   *Budget
-	limits   *Limits
-	door     *Door
-	prober   *Prober
-	ready    atomic.Bool
-	stopping atomic.Bool
-	offices  []*http.Server
-	inner    *parley.Listener
+	props     props.Props
+	log       *events.Log
+	clock     Clock
+	life      parley.Life
+	nap       time.Duration
+	world     *World
+	link      *Link
+	keys      *keys.Book
+	budget    *Budget
+	limits    *Limits
+	throttles throttles
+	door      *Door
+	prober    *Prober
+	ready     atomic.Bool
+	stopping  atomic.Bool
+	offices   []*http.Server
+	inner     *parley.Listener
 }
 
 // Start takes up the work.
--- /dev/null
+++ b/internal/passage/throttle_test.go
@@ -0,0 +1,77 @@
+package passage
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// A service that can do ten requests at a time, each in 150 ms or so, is given
+// more than it can take: with the throttle most that are sent come in time.
+func TestThrottleKeepsAnswersInTime(t *testing.T) {
+	play := func(offered int, throttle *Throttle) (inTime, late, refused int) {
+		luck := rand.New(rand.NewSource(1))
+		var ends []time.Duration // when each of ten slots is free
+		ends = make([]time.Duration, 10)
+		type job struct{ end, took time.Duration }
+		var jobs []job
+		for now := time.Duration(0); now < 60*time.Second; now += time.Millisecond {
+			kept := jobs[:0]
+			for _, j := range jobs {
+				if j.end > now {
+					kept = append(kept, j)
+					continue
+				}
+				if throttle != nil {
+					throttle.Leave()
+					throttle.Learn(j.took, 600*time.Millisecond)
+				}
+				if now > 10*time.Second {
+					if j.took <= 600*time.Millisecond {
+						inTime++
+					} else {
+						late++
+					}
+				}
+			}
+			jobs = kept
+			if luck.Intn(1000) >= offered {
+				continue
+			}
+			if throttle != nil && !throttle.Enter(luck.Intn(3)) {
+				refused++
+				continue
+			}
+			first := 0
+			for i := range ends {
+				if ends[i] < ends[first] {
+					first = i
+				}
+			}
+			begin := max(ends[first], now)
+			ends[first] = begin + time.Duration(50+luck.Intn(200))*time.Millisecond
+			jobs = append(jobs, job{ends[first], ends[first] - now})
+		}
+		return inTime, late, refused
+	}
+	calm, calmLate, calmRefused := play(40, NewThrottle())
+	if calmRefused > 0 || calmLate > calm/50 {
+		t.Fatalf("within its capacity: %d in time, %d late, %d refused", calm, calmLate, calmRefused)
+	}
+	without, lateWithout, _ := play(100, nil)
+	with, lateWith, refused := play(100, NewThrottle())
+	t.Logf("overload without: %d in time, %d late; with: %d in time, %d late, %d refused", without, lateWithout, with, lateWith, refused)
+	if with < 2*without || lateWith > with/4 {
+		t.Fatalf("overload without: %d in time, %d late; with: %d in time, %d late, %d refused", without, lateWithout, with, lateWith, refused)
+	}
+}
+
+func TestThrottleTurnsLowerRanksAwayFirst(t *testing.T) {
+	throttle := NewThrottle()
+	throttle.limit = 10
+	for throttle.Enter(2) {
+	}
+	if throttle.atWork >= 10 || !throttle.Enter(0) {
+		t.Fatalf("at %d of 10 the highest rank finds no place", throttle.atWork)
+	}
+}
