--- a/cmd/tinpin/main_test.go
+++ b/cmd/tinpin/main_test.go
@@ -50,9 +50,9 @@
 
 func TestTraceFromLogs(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "log")
-	lines := `{"level":"info","ts":"2026-01-01T00:00:02.000Z","msg":"change seen on this daemon","daemon":"edge-1","event":122,"kind":"item","name":"routes/r1","what":"applied","stamp":"7","rev":12}
-12.5 edge-2 {"level":"info","ts":"2026-01-01T00:00:01.000Z","daemon":"core-1","event":122,"kind":"item","name":"routes/r1","what":"applied","stamp":"7","rev":12}
-{"ts":"2026-01-01T00:00:03.000Z","daemon":"edge-1","event":122,"kind":"item","name":"routes/r2","what":"applied","stamp":"1","rev":13}
+	lines := `{"level":"info","ts":"2026-01-01T00:00:02.000Z","msg":"change seen on this daemon","daemon":"edge-1","event":120,"kind":"item","name":"routes/r1","what":"applied","stamp":"7","rev":12}
+12.5 edge-2 {"level":"info","ts":"2026-01-01T00:00:01.000Z","daemon":"core-1","event":120,"kind":"item","name":"routes/r1","what":"applied","stamp":"7","rev":12}
+{"ts":"2026-01-01T00:00:03.000Z","daemon":"edge-1","event":120,"kind":"item","name":"routes/r2","what":"applied","stamp":"1","rev":13}
 `
 	if err := os.WriteFile(path, []byte(lines), 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -34,9 +34,7 @@
 	LeaderFound
 	ConfigTaken
 	EvacuationTaken
-	ChangeApplied
 	HealthChanged
-	InnerFailed
 	ChangeSeen
 	EventsDropped
 )
@@ -61,9 +59,7 @@
 	LeaderFound:     "leader found",
 	ConfigTaken:     "configuration acknowledged",
 	EvacuationTaken: "evacuation acknowledged",
-	ChangeApplied:   "change applied on this daemon",
 	HealthChanged:   "health of a backend changed",
-	InnerFailed:     "call to a fellow failed",
 	ChangeSeen:      "change seen on this daemon",
 	EventsDropped:   "events not delivered to their receiver",
 }
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -21,7 +21,6 @@
 	body         []byte
 	inner        string
 	at           time.Duration
-	done         chan struct{}
 }
 
 // Book is the record; it forgets an operation after the window and bodies
@@ -52,7 +51,7 @@
 	if found := b.held[key]; found != nil && found.standing != parley.Freed {
 		return nil, &Held{b, found}
 	}
-	fresh := &Operation{Key: key, Request: request, standing: parley.Running, at: b.now(), done: make(chan struct{})}
+	fresh := &Operation{Key: key, Request: request, standing: parley.Running, at: b.now()}
 	b.held[key] = fresh
 	b.order = append(b.order, fresh)
 	return &Held{b, fresh}, nil
@@ -74,9 +73,6 @@
 // Request is the request that holds the key.
 func (h *Held) Request() (request string) { return h.op.Request }
 
-// Done is closed when the operation is no longer running.
-func (h *Held) Done() (done <-chan struct{}) { return h.op.done }
-
 func (o *Operation) reply() (reply parley.RecallReply) {
 	return parley.RecallReply{Standing: o.standing, Status: o.status, Header: o.lines, Body: o.body, Inner: o.inner}
 }
@@ -111,7 +107,6 @@
 	defer b.mu.Unlock()
 	if held.op.standing == parley.Running {
 		held.op.standing = standing
-		close(held.op.done)
 	}
 }
 
--- a/internal/passage/server.go
+++ b/internal/passage/server.go
@@ -6,7 +6,6 @@
 
 import (
 	"net"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -257,11 +256,3 @@
 	}
 	s.mu.Unlock()
 }
-
-// hostOnly cuts the port off an address.
-func hostOnly(address string) (host string) {
-	if at := strings.LastIndexByte(address, ':'); at >= 0 {
-		return address[:at]
-	}
-	return address
-}
