Act on each page of the platform's list as it comes

Cause: on a list of many pages an entry that turns draining waited for the walk behind it, up to two walks in all, which nears the drain bound from about a thousand backends on. What a page shows now counts at once; absence still needs whole walks. Found by reading, held by a test.

--- a/internal/census/census_test.go
+++ b/internal/census/census_test.go
@@ -65,16 +65,24 @@
 		return parley.Server{ID: parley.ServerID(id), Service: "s", Address: "x:1", Draining: draining}
 	}
 	has := func(id string) bool { _, known := list.Servers.Get(parley.ServerID(id)); return known }
-	list.Merge([]parley.Server{server("a", false), server("b", false)})
-	list.Merge([]parley.Server{server("a", true)})
+	walk := func(servers ...parley.Server) {
+		list.Page(servers)
+		list.Whole(servers)
+	}
+	walk(server("a", false), server("b", false))
+	list.Page([]parley.Server{server("a", true)})
+	if a, _ := list.Servers.Get("a"); !a.Draining || !has("b") {
+		t.Fatal("what a page shows counts at once, what it does not show is nothing")
+	}
+	walk(server("a", true))
 	if !has("b") {
 		t.Fatal("one walk without an entry is not its end")
 	}
-	list.Merge([]parley.Server{server("a", false)})
+	walk(server("a", false))
 	if a, _ := list.Servers.Get("a"); has("b") || !a.Draining {
 		t.Fatal("two walks without it are; what drains does not come back")
 	}
-	list.Merge(nil)
+	walk()
 	if has("a") {
 		t.Fatal("a draining entry is gone with the first walk without it")
 	}
@@ -99,14 +107,18 @@
 	}))
 	defer platform.Close()
 	caller := NewPlatform(strings.TrimPrefix(platform.URL, "http://"))
-	servers, pages, err := caller.Walk(0)
+	shown := 0
+	servers, pages, err := caller.Walk(0, func(page []parley.Server) { shown += len(page) })
 	if err != nil || pages != 2 || len(servers) != 2 || servers[1].ID != "i-2" || servers[0].Cold != 1500*time.Millisecond || servers[0].Slots != 3 {
 		t.Fatal(servers, pages, err)
 	}
 	broken = true
-	if servers, _, err = caller.Walk(0); err == nil || servers != nil {
+	if servers, _, err = caller.Walk(0, func(page []parley.Server) { shown += len(page) }); err == nil || servers != nil {
 		t.Fatal("a walk that broke off gave something")
 	}
+	if shown != 3 {
+		t.Fatalf("%d entries were shown by pages", shown)
+	}
 	for _, body := range []string{"", "{}", `{"instances":{"column_names":["a"],"row_values":[[1,2]]}}`, page("", "null")} {
 		if _, _, err = ReadPage([]byte(body)); err == nil {
 			t.Errorf("%q was read", body)
--- a/internal/census/list.go
+++ b/internal/census/list.go
@@ -1,6 +1,8 @@
-// The platform's list of backends, read page by page. A walk that breaks off
-// changes nothing. An entry that a whole walk did not show is gone only after
-// a second whole walk did not show it either, unless it was draining.
+// The platform's list of backends, read page by page. What a page shows counts
+// at once, since a draining backend must not wait for the pages behind it; what
+// a walk does not show counts only if the walk was whole, and an entry is gone
+// only after a second whole walk did not show it either, unless it was
+// draining.
 package census
 
 import (
@@ -85,8 +87,8 @@
 	return &Platform{Address: address, client: &http.Client{Transport: transport, Timeout: 2 * time.Second}}
 }
 
-// Walk reads all pages.
-func (p *Platform) Walk(pause time.Duration) (servers []parley.Server, pages int, err error) {
+// Walk reads all pages, tells each as it comes, and gives the whole.
+func (p *Platform) Walk(pause time.Duration, each func(page []parley.Server)) (servers []parley.Server, pages int, err error) {
 	token := ""
 	for {
 		target := "http://" + p.Address + "/instances"
@@ -110,6 +112,7 @@
 		if pageErr != nil {
 			return nil, pages, pageErr
 		}
+		each(page)
 		servers = append(servers, page...)
 		if next == "" {
 			return servers, pages, nil
@@ -134,21 +137,15 @@
 	return &List{Servers: NewLedger[parley.ServerID, parley.Server](clock), missed: map[parley.ServerID]int{}}
 }
 
-// Merge takes one whole walk. The cold spell is kept as first told, since a
+// Page takes what one page shows. The cold spell is kept as first told, since a
 // remainder that shrinks is no change.
-func (l *List) Merge(walk []parley.Server) (changed bool, fresh []parley.Server) {
-	changed = !l.Walked
-	l.Walked = true
-	shown := make(map[parley.ServerID]bool, len(walk))
-	for _, server := range walk {
-		shown[server.ID] = true
+func (l *List) Page(page []parley.Server) (changed bool, fresh []parley.Server) {
+	for _, server := range page {
 		delete(l.missed, server.ID)
 		old, known := l.Servers.Get(server.ID)
 		if known {
 			server.Cold = old.Cold
-			if old.Draining {
-				server.Draining = true
-			}
+			server.Draining = server.Draining || old.Draining
 		} else {
 			fresh = append(fresh, server)
 		}
@@ -156,6 +153,18 @@
 			changed = true
 		}
 	}
+	return changed, fresh
+}
+
+// Whole takes a whole walk, whose pages were taken before, and strikes out
+// what it does not show.
+func (l *List) Whole(walk []parley.Server) (changed bool) {
+	changed = !l.Walked
+	l.Walked = true
+	shown := make(map[parley.ServerID]bool, len(walk))
+	for _, server := range walk {
+		shown[server.ID] = true
+	}
 	var gone []parley.ServerID
 	l.Servers.Each(func(id parley.ServerID, server parley.Server) {
 		if shown[id] {
@@ -171,5 +180,5 @@
 		l.Servers.Drop(id)
 		changed = true
 	}
-	return changed, fresh
+	return changed
 }
--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -25,6 +25,9 @@
 	leaseSpan   = 1600 * time.Millisecond
 	struckAfter = 6 * time.Second
 	gather      = 15 * time.Millisecond
+	// listPart is the part of the platform's rate that the leader uses; the
+	// rest is for daemons without a leader.
+	listPart    = 0.5
 	gatherEach  = 500 * time.Microsecond
 	gatherMost  = 250 * time.Millisecond
 	longestHold = 2 * time.Second
@@ -182,16 +185,16 @@
 // walk is the duty that reads the platform's list.
 func (f *Forum) walk() {
 	platform := census.NewPlatform(f.props.PlatformAddress)
-	pause := time.Duration(float64(time.Second) / max(f.props.PlatformRate/4, 0.1))
+	pause := time.Duration(float64(time.Second) / max(f.props.PlatformRate*listPart, 0.1))
 	for {
 		begun := time.Now()
-		servers, pages, err := platform.Walk(min(pause, 100*time.Millisecond))
+		servers, pages, err := platform.Walk(min(pause, 100*time.Millisecond), func(page []parley.Server) { f.merge(page, false) })
 		interval := max(f.props.ListInterval, time.Duration(pages)*pause)
 		if err != nil {
 			f.log.Say(events.ListFailed, "problem", err.Error())
 			interval = max(interval/2, time.Duration(pages)*pause)
 		} else {
-			f.merge(servers)
+			f.merge(servers, true)
 		}
 		select {
 		case <-f.stop:
@@ -201,17 +204,25 @@
 	}
 }
 
-func (f *Forum) merge(servers []parley.Server) {
+// merge takes a page of the list, or the whole of a walk.
+func (f *Forum) merge(servers []parley.Server, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.clock.Now()
-	changed, fresh := f.list.Merge(servers)
+	first := !f.list.Walked
+	var changed bool
+	var fresh []parley.Server
+	if whole {
+		changed = f.list.Whole(servers)
+	} else {
+		changed, fresh = f.list.Page(servers)
+	}
 	f.list.Servers.Since(before, func(id parley.ServerID, server parley.Server, gone bool) {
 		stamp := server.Stamp()
 		if gone {
 			stamp = "gone"
 		}
-		f.node.Chronicle.Note(chronicle.Backend, string(id), "listed", stamp, 0, before <= 1)
+		f.node.Chronicle.Note(chronicle.Backend, string(id), "listed", stamp, 0, first)
 	})
 	now := f.now()
 	for _, server := range fresh {
--- a/internal/passage/directions.go
+++ b/internal/passage/directions.go
@@ -7,6 +7,7 @@
 package passage
 
 import (
+	"math/rand"
 	"sort"
 	"time"
 
@@ -58,6 +59,8 @@
 		}
 	}
 	if len(addresses) > directionsMost {
+		// Not always the same ones, so that all of a large site carry.
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 		addresses = addresses[:directionsMost]
 	}
 	return addresses
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -234,7 +234,7 @@
 			continue
 		}
 		fleet := max(4, len(l.world.Scene().Fellows))
-		walk, pages, err := platform.Walk(100 * time.Millisecond)
+		walk, pages, err := platform.Walk(100*time.Millisecond, func([]parley.Server) {})
 		if err == nil && !l.Led() {
 			l.world.TakeList(walk)
 		}
