Tell the list in full to fellows that came before it was whole

Cause: a large deployment of our own (48 edges, 288 backends, six pages) never recovered from a change of leader: edges that found the new leader before its first walk was whole were told only the pages that came later, and their owners' reports were dropped and not repeated. Small lists, of one page, hid it. A fellow now says whether it has this leader's list.

--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -57,6 +57,8 @@
 	sites   map[parley.SiteName]bool
 	changed chan struct{}
 	stop    chan struct{}
+
+	chronicle *chronicle.Chronicle
 }
 
 // Open starts a leadership's forum.
@@ -68,7 +70,7 @@
 		clock: clock, roll: census.NewRoll(clock, census.RollBounds{Absent: vigil.StandIn, Struck: struckAfter}),
 		list: census.NewList(clock), cache: vigil.NewCache(clock, 3*p.ProbeInterval+time.Second),
 		book: allot.NewBook(0, leaseSpan), view: canon.New().View(), sites: map[parley.SiteName]bool{},
-		changed: make(chan struct{}), stop: make(chan struct{}),
+		changed: make(chan struct{}), stop: make(chan struct{}), chronicle: node.Chronicle,
 	}
 	first := term == 1
 	forum.lender = allot.NewLender(0, leaseSpan, first)
@@ -222,7 +224,7 @@
 		if gone {
 			stamp = "gone"
 		}
-		f.node.Chronicle.Note(chronicle.Backend, string(id), "listed", stamp, 0, first)
+		f.chronicle.Note(chronicle.Backend, string(id), "listed", stamp, 0, first)
 	})
 	now := f.now()
 	for _, server := range fresh {
@@ -290,7 +292,7 @@
 	if ask.Term != f.term {
 		return true
 	}
-	return ask.Epoch < f.clock.Now() || ask.Rev < f.rev || ask.Hold <= 0
+	return ask.Epoch < f.clock.Now() || ask.Rev < f.rev || ask.Hold <= 0 || !ask.Listed && f.list.Walked
 }
 
 func (f *Forum) tell(ask parley.BeatAsk, news *parley.News) {
@@ -315,12 +317,17 @@
 			}
 		})
 	}
-	news.Listed = f.list.Walked
-	if news.Listed {
-		f.list.Servers.Since(since, func(_ parley.ServerID, server parley.Server, gone bool) {
+	// The list is told only once it is whole, and then first in full: a fellow
+	// may have come before it was.
+	if news.Listed = f.list.Walked; news.Listed {
+		listSince := since
+		if news.Full || !ask.Listed {
+			listSince, news.ListFull = 0, true
+		}
+		f.list.Servers.Since(listSince, func(_ parley.ServerID, server parley.Server, gone bool) {
 			news.Servers = append(news.Servers, parley.ServerChange{Server: server, Gone: gone})
 		})
-		f.cache.States.Since(since, func(_ parley.ServerID, state parley.State, gone bool) {
+		f.cache.States.Since(listSince, func(_ parley.ServerID, state parley.State, gone bool) {
 			state = f.cache.Remaining(now, state)
 			state.Gone = gone
 			news.States = append(news.States, state)
@@ -422,6 +429,9 @@
 func (f *Forum) Report(ask parley.ReportAsk) (taken bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.list.Walked {
+		return false
+	}
 	absent := map[parley.FellowID]bool{}
 	for _, id := range f.absent {
 		absent[id] = true
@@ -436,7 +446,7 @@
 	before := f.clock.Now()
 	taken, changed := f.cache.Report(f.now(), ask, absent)
 	f.cache.States.Since(before, func(id parley.ServerID, state parley.State, _ bool) {
-		f.node.Chronicle.Note(chronicle.Health, string(id), "reported by "+string(ask.Fellow), state.Stamp(), uint64(f.clock.Now()), true)
+		f.chronicle.Note(chronicle.Health, string(id), "reported by "+string(ask.Fellow), state.Stamp(), uint64(f.clock.Now()), true)
 	})
 	if changed {
 		f.stir()
--- a/internal/parley/words.go
+++ b/internal/parley/words.go
@@ -146,11 +146,12 @@
 // BeatAsk is a fellow's beat: who it is, what it has seen, what it wants.
 type BeatAsk struct {
 	Fellow
-	Term    Term
-	Epoch   Epoch
-	Rev     uint64
+	Term  Term
+	Epoch Epoch
+	Rev   uint64
+	// Listed tells that the fellow has this leader's list of backends.
+	Listed  bool
 	Hold    time.Duration
-	Stale   []ServiceName
 	Demands []Demand
 }
 
@@ -174,6 +175,7 @@
 	Items       []canon.Item
 	Evacuations []Evacuation
 	Listed      bool
+	ListFull    bool
 	Servers     []ServerChange
 	Fellows     []FellowChange
 	States      []State
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -131,7 +131,7 @@
 func (l *Link) beat(target string, hold, limit time.Duration) (news *parley.News, err error) {
 	asked := l.clock.Now()
 	term, epoch, rev := l.world.Seen()
-	ask := parley.BeatAsk{Fellow: l.self(), Term: term, Epoch: epoch, Rev: rev, Hold: hold}
+	ask := parley.BeatAsk{Fellow: l.self(), Term: term, Epoch: epoch, Rev: rev, Listed: l.world.HasList(), Hold: hold}
 	tenants := l.world.Scene().View.Tenants()
 	if l.Limits != nil {
 		ask.Demands = l.Limits.Demands(tenants)
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -81,6 +81,13 @@
 	return w.shares.Amount(w.clock.Now(), allot.Key{Kind: kind, Name: key})
 }
 
+// HasList tells that the leader's list was taken.
+func (w *World) HasList() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.listed && w.listTerm == w.term && w.term > 0
+}
+
 // Seen is what a beat names.
 func (w *World) Seen() (term parley.Term, epoch parley.Epoch, rev uint64) {
 	w.mu.Lock()
@@ -137,7 +144,7 @@
 		w.watch.Settle(now)
 	}
 	if news.Listed {
-		w.list(now, news.Servers, w.listTerm != news.Term)
+		w.list(now, news.Servers, news.ListFull)
 		w.listTerm = news.Term
 		if !w.listed {
 			changed = true
