--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -27,6 +27,7 @@
 	beatTicks    = 2
 	electTicks   = 9
 	maxInFlight  = 3
+	staleWish    = 700 * time.Millisecond
 	courierDial  = 120 * time.Millisecond
 	maxWishes    = 2048
 	compactCount = 4000
@@ -46,6 +47,7 @@
 type wish struct {
 	command Command
 	done    chan Answer
+	born    time.Time
 }
 
 type pendingEntry struct {
@@ -242,12 +244,13 @@
 func (n *Node) Wishes(commands []Command, limit time.Duration) (answers []Answer) {
 	answers = make([]Answer, len(commands))
 	done := make([]chan Answer, len(commands))
+	now := time.Now()
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for i, command := range commands {
 		done[i] = make(chan Answer, 1)
 		select {
-		case n.wishes <- wish{command, done[i]}:
+		case n.wishes <- wish{command, done[i], now}:
 		default:
 			done[i] <- Answer{Refused: true}
 		}
@@ -356,17 +359,29 @@
 }
 
 func (n *Node) propose(first wish) {
-	batch := []wish{first}
-	size := len(first.command.Body)
-	for len(batch) < 256 && size < 1<<20 {
-		select {
-		case next := <-n.wishes:
+	var batch []wish
+	size := 0
+	now := time.Now()
+	for next, more := first, true; more && len(batch) < 256 && size < 1<<20; {
+		// A wish whose caller must have given up is refused, not carried out:
+		// a backlog would otherwise be worked off for nobody.
+		if now.Sub(next.born) > staleWish {
+			next.done <- Answer{Refused: true}
+		} else {
 			batch = append(batch, next)
 			size += len(next.command.Body)
-			continue
+		}
+		select {
+		case next = <-n.wishes:
 		default:
+			more = false
 		}
-		break
+		if more && (len(batch) == 256 || size >= 1<<20) {
+			batch = append(batch, next)
+		}
+	}
+	if len(batch) == 0 {
+		return
 	}
 	commands := make([]Command, len(batch))
 	for i := range batch {
@@ -560,7 +575,7 @@
 		n.mu.RUnlock()
 		if upto > 0 {
 			select {
-			case n.wishes <- wish{Command{Kind: CommandExpire, Upto: upto}, make(chan Answer, 1)}:
+			case n.wishes <- wish{Command{Kind: CommandExpire, Upto: upto}, make(chan Answer, 1), time.Now()}:
 			default:
 			}
 		}
--- a/internal/passage/daemon.go
+++ b/internal/passage/daemon.go
@@ -74,6 +74,7 @@
 	d.link.Limits = d.limits
 	go d.link.Beat()
 	go d.link.Claims()
+	go d.link.Frees()
 	go d.link.Alone()
 	go d.prober.Run()
 	go d.tend()
--- a/internal/passage/keyed_test.go
+++ b/internal/passage/keyed_test.go
@@ -57,6 +57,7 @@
 	d.link.heard.Store(int64(d.clock.Now() + time.Hour))
 	d.nap = time.Millisecond
 	go d.link.Claims()
+	go d.link.Frees()
 	t.Cleanup(func() { close(d.link.Ended) })
 	return inner
 }
@@ -173,4 +174,13 @@
 		freed = len(forum.freed) > 0 && forum.freed[0] == parley.KeyClaim{Key: "k", Request: "a"}
 		forum.mu.Unlock()
 	}
+	// Once, not with every claim that follows.
+	for range 5 {
+		_ = d.link.Claim(parley.KeyClaim{Key: "other", Request: "x"}, 0, 30*time.Millisecond)
+	}
+	forum.mu.Lock()
+	defer forum.mu.Unlock()
+	if len(forum.freed) != 1 {
+		t.Fatalf("the key was given back %d times", len(forum.freed))
+	}
 }
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -26,6 +26,9 @@
 	claimRing   = 1024
 	claimCalls  = 16
 	claimPause  = 25 * time.Millisecond
+	freesMost   = 128
+	freesHeld   = 8192
+	freesPause  = 250 * time.Millisecond
 )
 
 type claimWish struct {
@@ -249,7 +252,7 @@
 func (l *Link) Claim(claim parley.KeyClaim, patience, limit time.Duration) (found parley.ClaimFound) {
 	begun := l.clock.Now()
 	unclear := false
-	for {
+	for pause := claimPause; ; pause *= 2 {
 		found = l.claim(claim, min(claimCall, limit-(l.clock.Now()-begun)))
 		switch found.Outcome {
 		case parley.Granted, parley.Held:
@@ -259,10 +262,10 @@
 		}
 		go l.scout()
 		spent := l.clock.Now() - begun
-		if spent+claimPause > limit || !unclear && spent+claimPause > patience {
+		if spent+pause > limit || !unclear && spent+pause > patience {
 			break
 		}
-		time.Sleep(claimPause)
+		time.Sleep(pause)
 	}
 	if unclear {
 		found.Outcome = parley.Unclear
@@ -293,7 +296,9 @@
 // Free gives a key back; it is told to the cores until they have it.
 func (l *Link) Free(claim parley.KeyClaim) {
 	l.mu.Lock()
-	l.frees[claim] = true
+	if len(l.frees) < freesHeld {
+		l.frees[claim] = true
+	}
 	l.mu.Unlock()
 	select {
 	case l.stir <- struct{}{}:
@@ -308,7 +313,6 @@
 		select {
 		case first := <-l.claims:
 			batch = append(batch, first)
-		case <-l.stir:
 		case <-l.Ended:
 			return
 		}
@@ -321,19 +325,13 @@
 				more = false
 			}
 		}
-		l.mu.Lock()
-		var frees []parley.KeyClaim
-		for claim := range l.frees {
-			frees = append(frees, claim)
-		}
-		l.mu.Unlock()
-		go l.call(batch, frees)
+		go l.call(batch)
 	}
 }
 
-func (l *Link) call(batch []claimWish, frees []parley.KeyClaim) {
+func (l *Link) call(batch []claimWish) {
 	defer func() { <-l.calls }()
-	ask := parley.ClaimAsk{Holder: parley.FellowID(l.props.Name), Life: l.life, Frees: frees}
+	ask := parley.ClaimAsk{Holder: parley.FellowID(l.props.Name), Life: l.life}
 	for _, wish := range batch {
 		ask.Claims = append(ask.Claims, wish.claim)
 	}
@@ -349,19 +347,42 @@
 		}
 		wish.done <- found
 	}
-	if err == nil && reply.Leader && reply.Freed {
-		l.mu.Lock()
-		for _, claim := range frees {
-			delete(l.frees, claim)
+}
+
+// Frees is the duty that gives keys back, in one call at a time: told again
+// with every claim they would bury a leader that is only slow.
+func (l *Link) Frees() {
+	for {
+		select {
+		case <-l.stir:
+		case <-l.Ended:
+			return
 		}
-		l.mu.Unlock()
-	} else if len(frees) > 0 {
-		time.AfterFunc(250*time.Millisecond, func() {
-			select {
-			case l.stir <- struct{}{}:
-			default:
+		for !l.ended() {
+			l.mu.Lock()
+			var frees []parley.KeyClaim
+			for claim := range l.frees {
+				if frees = append(frees, claim); len(frees) == freesMost {
+					break
+				}
 			}
-		})
+			l.mu.Unlock()
+			if len(frees) == 0 {
+				break
+			}
+			ask := parley.ClaimAsk{Holder: parley.FellowID(l.props.Name), Life: l.life, Frees: frees}
+			var reply parley.ClaimReply
+			err := l.caller(*l.leader.Load()).Call("Forum.Claim", ask, &reply, time.Second)
+			if err != nil || !reply.Leader || !reply.Freed {
+				time.Sleep(freesPause)
+				continue
+			}
+			l.mu.Lock()
+			for _, claim := range frees {
+				delete(l.frees, claim)
+			}
+			l.mu.Unlock()
+		}
 	}
 }
 
