Give a freed claim back again when it is met; leave a backend whose address is another's

Found by reading: a claim whose try was unclear can be carried out behind the word that gave it back and would then hold its key for the window; and a backend that answers 421 was chosen again till the list dropped it.

--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -35,7 +35,9 @@
 	order []*Operation
 	size  int
 	freed map[[2]string]time.Duration
-	kept  map[[2]string]*Operation
+	// pruned is when freed was last gone through.
+	pruned time.Duration
+	kept   map[[2]string]*Operation
 }
 
 // NewBook keeps operations for window and bodies up to room bytes.
@@ -157,7 +159,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	if len(b.freed) > 4096 {
+	if len(b.freed) > 4096 && now-b.pruned > b.window/8 {
+		b.pruned = now
 		for which, at := range b.freed {
 			if now-at > b.window {
 				delete(b.freed, which)
--- a/internal/passage/daemon.go
+++ b/internal/passage/daemon.go
@@ -160,6 +160,11 @@
 		return nil
 	}
 	*reply = k.daemon.keys.Find(ask.Key, ask.Request)
+	if reply.Standing == parley.Freed {
+		// The one who asks was told that the claim stands: it may have been
+		// carried out behind the word that gave it back, which is said again.
+		k.daemon.link.Free(parley.KeyClaim{Key: ask.Key, Request: ask.Request})
+	}
 	return nil
 }
 
--- a/internal/passage/keyed_test.go
+++ b/internal/passage/keyed_test.go
@@ -184,3 +184,23 @@
 		t.Fatalf("the key was given back %d times", len(forum.freed))
 	}
 }
+
+// A claim may be carried out behind the word that gave it back; whoever meets
+// it asks its holder, who then gives it back again.
+func TestAFreedClaimThatStandsIsGivenBackAgain(t *testing.T) {
+	d := daemonOf(t, newStandIn(t, "i-1", good))
+	forum := &standInForum{script: grant}
+	led(t, d, forum)
+	op, _ := d.keys.Open("k", "a")
+	d.keys.Free(op)
+	var reply parley.RecallReply
+	if err := (&Desk{d}).Recall(parley.RecallAsk{Key: "k", Request: "a", Life: d.life}, &reply); err != nil || reply.Standing != parley.Freed {
+		t.Fatal(reply, err)
+	}
+	for freed := false; !freed; {
+		_ = d.link.Claim(parley.KeyClaim{Key: "other", Request: "x"}, 0, 30*time.Millisecond)
+		forum.mu.Lock()
+		freed = len(forum.freed) == 1 && forum.freed[0] == parley.KeyClaim{Key: "k", Request: "a"}
+		forum.mu.Unlock()
+	}
+}
--- a/internal/passage/round.go
+++ b/internal/passage/round.go
@@ -217,6 +217,7 @@
 				return Round{Outcome: Turned}
 			}
 			if !foreign && response.StatusCode == http.StatusMisdirectedRequest {
+				server.moved(clock.Now())
 				return Round{Outcome: Turned}
 			}
 			return Round{Outcome: Broken}
@@ -236,6 +237,9 @@
 			server.drop(stream)
 		}
 		if response.Header.Get(headNotRun) != "" || response.StatusCode == http.StatusMisdirectedRequest {
+			if response.StatusCode == http.StatusMisdirectedRequest {
+				server.moved(clock.Now())
+			}
 			settle(whole)
 			return Round{Outcome: Turned}
 		}
--- a/internal/passage/server.go
+++ b/internal/passage/server.go
@@ -228,6 +228,14 @@
 	s.outTill = now + s.outSpan
 }
 
+// moved takes the backend out because another has its address; the list will
+// tell its end.
+func (s *Server) moved(now time.Duration) {
+	s.mu.Lock()
+	s.outSpan, s.outTill = outMost, now+outMost
+	s.mu.Unlock()
+}
+
 // note takes what the list and the cache say.
 func (s *Server) note(now time.Duration, listed *parley.Server, state *parley.State) {
 	s.mu.Lock()
