--- a/cmd/tinpin/main.go
+++ b/cmd/tinpin/main.go
@@ -167,6 +167,11 @@
 	signal.Ignore(syscall.SIGPIPE)
 	renew := time.NewTicker(2 * time.Second)
 	defer renew.Stop()
+	return attend(running, path, signals, renew.C, log)
+}
+
+// attend heeds signals and changes of the settings file until told to stop.
+func attend(running daemon, path string, signals <-chan os.Signal, renew <-chan time.Time, log *events.Log) (code int) {
 	last := stamp(path)
 	for {
 		select {
@@ -177,9 +182,9 @@
 				log.Say(events.Stopped)
 				return 0
 			}
-		case <-renew.C:
+		case <-renew:
 			// The file may change with no signal.
-			if now := stamp(path); now == last {
+			if stamp(path) == last {
 				continue
 			}
 		}
--- a/cmd/tinpin/main_test.go
+++ b/cmd/tinpin/main_test.go
@@ -5,7 +5,12 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
+
+	"tinpin/internal/events"
+	"tinpin/internal/props"
 )
 
 func TestCommandLine(t *testing.T) {
@@ -65,3 +70,41 @@
 		t.Fatal(out.String())
 	}
 }
+
+type recorder struct{ did chan string }
+
+func (r recorder) Renew(p props.Props) { r.did <- strings.Join(p.Seeds, ",") }
+func (r recorder) Stop()               { r.did <- "stop" }
+
+func TestSettingsAreTakenUpBySignalAndSilently(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "local.json")
+	write := func(seed string) {
+		text := `{"name":"x","address":"10.0.0.1","site":"a","region":"n","inner_ports":[7720,7735],"seeds":["` + seed + `"]}`
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("10.0.0.2:1")
+	signals, renew, ended := make(chan os.Signal), make(chan time.Time), make(chan int)
+	running := recorder{make(chan string, 4)}
+	go func() { ended <- attend(running, path, signals, renew, events.Quiet()) }()
+	renew <- time.Time{} // nothing changed
+	signals <- syscall.SIGHUP
+	if did := <-running.did; did != "10.0.0.2:1" {
+		t.Fatal(did)
+	}
+	write("10.0.0.3:17")
+	renew <- time.Time{}
+	if did := <-running.did; did != "10.0.0.3:17" {
+		t.Fatal(did)
+	}
+	write("no address")
+	renew <- time.Time{}
+	signals <- syscall.SIGTERM
+	if did := <-running.did; did != "stop" {
+		t.Fatalf("bad settings were taken up: %s", did)
+	}
+	if code := <-ended; code != 0 {
+		t.Fatal(code)
+	}
+}
--- a/internal/passage/keyed_test.go
+++ b/internal/passage/keyed_test.go
@@ -204,3 +204,36 @@
 		forum.mu.Unlock()
 	}
 }
+
+// A request that is given up is told so at once, not near its deadline.
+func TestFinalAnswersAreGivenAtOnce(t *testing.T) {
+	broken := func(int, seen, net.Conn) bool { return false }
+	for name, c := range map[string]struct {
+		request *Request
+		backend bool
+		led     bool
+		status  int
+	}{
+		"no backend":      {request("GET", "/safe/x", "a"), false, false, 503},
+		"broken":          {request("POST", "/once/x", "a"), true, false, 502},
+		"broken, keyed":   {keyed("a", "k"), true, true, 502},
+		"no leader":       {keyed("a", "k"), true, false, 503},
+		"no way":          {request("GET", "/else/x", "a"), true, false, 404},
+		"none that works": {request("GET", "/safe/x", "a"), true, false, 502},
+	} {
+		var backends []*standIn
+		if c.backend {
+			backends = append(backends, newStandIn(t, "i-1", broken))
+		}
+		d := daemonOf(t, backends...)
+		if c.led {
+			led(t, d, &standInForum{script: grant})
+		}
+		begun := d.clock.Now()
+		verdict := d.Answer(c.request, "2500")
+		// The way's timeout is 900 ms and its aim 600 ms.
+		if took := d.clock.Now() - begun; verdict.Status != c.status || took > 450*time.Millisecond {
+			t.Errorf("%s: status %d after %v", name, verdict.Status, took)
+		}
+	}
+}
