Look for room for a fifth of the aim

A fifth, with the way to the client added, still lies within the quarter in which a refusal is not late.

--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -108,7 +108,7 @@
 // mayWait tells whether a request may look for room once more, so that a
 // refusal still lets the client come back in time.
 func (d *Daemon) mayWait(plan *Plan) bool {
-	return d.clock.Now()+roomPause < min(plan.Started+plan.Way.Aim/6, plan.Till)
+	return d.clock.Now()+roomPause < min(plan.Started+plan.Way.Aim/5, plan.Till)
 }
 
 // rounds sends a plan's request until there is an answer or a problem.
