--- a/internal/allot/tenants_test.go
+++ b/internal/allot/tenants_test.go
@@ -21,6 +21,14 @@
 	edges   []*edge
 	log     map[string][]time.Duration
 	refused map[string]int
+	fault   plantedFault
+	most    float64 // the most of a limit that was ever in use at once
+}
+
+type plantedFault struct {
+	noWait     bool // a new leader lends at once
+	growTokens bool // a part that grows brings tokens with it
+	fromAnswer bool // a holder counts from the answer, and its clock is slow
 }
 
 type edge struct {
@@ -82,12 +90,25 @@
 			b.Fill(f.now, tenant, e.part(f.now, tenant.Name))
 			floor := e.shares.Amount(f.now, Key{parley.TenantFloor, tenant.Name})
 			for _, lease := range f.lender.Lend(f.now, tenant, e.id, present, parley.Demand{Tenant: tenant.Name, Rate: b.Demand(), Floor: floor}) {
+				if f.fault.fromAnswer {
+					lease.Span *= 3
+				}
 				if f.luck.Intn(20) > 0 {
 					e.shares.Take(asked, lease)
 				}
+				if f.fault.growTokens {
+					b.tokens = e.part(f.now, tenant.Name) * tenant.Burst
+				}
 			}
 		}
 	}
+	for _, tenant := range f.tenants {
+		sum := 0.0
+		for _, e := range f.edges {
+			sum += e.part(f.now, tenant.Name)
+		}
+		f.most = max(f.most, sum)
+	}
 }
 
 func (f *fleet) ask(e *edge, tenant *canon.Tenant) (admitted bool) {
@@ -106,9 +127,15 @@
 // check holds every span against rate x time + burst.
 func (f *fleet) check(t *testing.T, tenant *canon.Tenant) {
 	t.Helper()
+	if worst := f.worst(tenant); worst > tenant.Burst+1e-6 {
+		t.Fatalf("%s: some span admits %.1f more than rate x time, the burst is %.0f", tenant.Name, worst, tenant.Burst)
+	}
+}
+
+// worst is the most that any span admits beyond rate x time.
+func (f *fleet) worst(tenant *canon.Tenant) (worst float64) {
 	times := f.log[tenant.Name]
 	// The most tokens left behind any start decides; one pass suffices.
-	worst := 0.0
 	level := 0.0
 	for i, at := range times {
 		if i > 0 {
@@ -117,43 +144,52 @@
 		level++
 		worst = max(worst, level)
 	}
-	if worst > tenant.Burst+1e-6 {
-		t.Fatalf("%s: some span admits %.1f more than rate x time, the burst is %.0f", tenant.Name, worst, tenant.Burst)
+	return worst
+}
+
+// trouble plays a noisy and a quiet tenant through cuts, restarts, newcomers
+// and changes of leader.
+func trouble(seed int64, fault plantedFault) (f *fleet, noisy, quiet *canon.Tenant) {
+	noisy = &canon.Tenant{Name: "noisy", Rate: 40, Burst: 40}
+	quiet = &canon.Tenant{Name: "quiet", Rate: 60, Burst: 60}
+	f = newFleet(seed, 8, noisy, quiet)
+	f.fault = fault
+	for f.now < 60*time.Second {
+		f.step()
+		e := f.edges[f.luck.Intn(len(f.edges))]
+		switch f.luck.Intn(400) {
+		case 0:
+			e.cut = f.now + time.Duration(f.luck.Intn(8000))*time.Millisecond
+		case 1:
+			e.restart()
+		case 2:
+			e.gone = !e.gone
+		case 3:
+			if len(f.edges) < 14 {
+				f.join()
+			}
+		case 4:
+			f.lender = NewLender(f.now, 1600*time.Millisecond, fault.noWait)
+		}
+		for i := 0; i < 3; i++ {
+			f.ask(f.edges[f.luck.Intn(len(f.edges))], noisy)
+		}
+		if f.luck.Intn(10) == 0 {
+			f.ask(f.edges[f.luck.Intn(len(f.edges))], quiet)
+		}
 	}
+	return f, noisy, quiet
 }
 
 func TestTenantLimitsHoldUnderTrouble(t *testing.T) {
 	var admitted, possible float64
 	for seed := int64(1); seed <= 20; seed++ {
-		noisy := &canon.Tenant{Name: "noisy", Rate: 40, Burst: 40}
-		quiet := &canon.Tenant{Name: "quiet", Rate: 60, Burst: 60}
-		f := newFleet(seed, 8, noisy, quiet)
-		for f.now < 60*time.Second {
-			f.step()
-			e := f.edges[f.luck.Intn(len(f.edges))]
-			switch f.luck.Intn(400) {
-			case 0:
-				e.cut = f.now + time.Duration(f.luck.Intn(8000))*time.Millisecond
-			case 1:
-				e.restart()
-			case 2:
-				e.gone = !e.gone
-			case 3:
-				if len(f.edges) < 14 {
-					f.join()
-				}
-			case 4:
-				f.lender = NewLender(f.now, 1600*time.Millisecond, false)
-			}
-			for i := 0; i < 3; i++ {
-				f.ask(f.edges[f.luck.Intn(len(f.edges))], noisy)
-			}
-			if f.luck.Intn(10) == 0 {
-				f.ask(f.edges[f.luck.Intn(len(f.edges))], quiet)
-			}
-		}
+		f, noisy, quiet := trouble(seed, plantedFault{})
 		f.check(t, noisy)
 		f.check(t, quiet)
+		if f.most > 1+1e-9 {
+			t.Fatalf("seed %d: %.3f of a limit was in use at once", seed, f.most)
+		}
 		admitted += float64(len(f.log["noisy"]))
 		possible += noisy.Rate * 60
 	}
@@ -163,6 +199,19 @@
 	}
 }
 
+func TestPlantedFaultsOfLeasesAreFound(t *testing.T) {
+	for name, fault := range map[string]plantedFault{"noWait": {noWait: true}, "growTokens": {growTokens: true}, "fromAnswer": {fromAnswer: true}} {
+		found := false
+		for seed := int64(1); seed <= 30 && !found; seed++ {
+			f, noisy, _ := trouble(seed, fault)
+			found = f.worst(noisy) > noisy.Burst+1e-6 || f.most > 1+1e-9
+		}
+		if !found {
+			t.Errorf("%s was not found by any seed", name)
+		}
+	}
+}
+
 func TestASurgeLeavesOthersUntouched(t *testing.T) {
 	noisy := &canon.Tenant{Name: "noisy", Rate: 50, Burst: 50}
 	quiet := &canon.Tenant{Name: "quiet", Rate: 50, Burst: 50}
