--- a/internal/canon/items.go
+++ b/internal/canon/items.go
@@ -15,10 +15,17 @@
 // The kinds of ways.
 const (
 	Idempotent    Repeat = "idempotent"
+	Download      Repeat = "download"
 	NonIdempotent Repeat = "non_idempotent"
 	Keyed         Repeat = "keyed"
 )
 
+// Repeatable tells that a request may run more than once.
+func (r Repeat) Repeatable() bool { return r == Idempotent || r == Download }
+
+// Known tells that it is one of the kinds.
+func (r Repeat) Known() bool { return r.Repeatable() || r == NonIdempotent || r == Keyed }
+
 // Target is a service with its weight in a way's split.
 type Target struct {
 	Service string
@@ -71,7 +78,7 @@
 		f.fail("path_prefix", "must begin and end with a slash")
 	}
 	way.Repeat = Repeat(f.text("route_type", true))
-	if way.Repeat != Idempotent && way.Repeat != NonIdempotent && way.Repeat != Keyed {
+	if !way.Repeat.Known() {
 		f.fail("route_type", "matches none of the kinds")
 	}
 	way.Timeout = f.span("timeout", true)
--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -160,7 +160,7 @@
 // taken; what comes later is let go.
 func (d *Daemon) round(plan *Plan, server *Server, arrived *int) (round Round, answering *Server) {
 	wait := time.Duration(float64(plan.Way.Aim) * hedgePart)
-	if plan.Way.Repeat != canon.Idempotent || plan.Rounds < 2 || wait <= 0 {
+	if !plan.Way.Repeat.Repeatable() || plan.Rounds < 2 || wait <= 0 {
 		round = run(d.clock, server, plan.Request, plan.Till)
 		if round.Sent {
 			*arrived++
--- a/internal/passage/door.go
+++ b/internal/passage/door.go
@@ -209,7 +209,7 @@
 		t := &turn{verdict: make(chan Verdict, 1), old: parsed.ProtoMinor == 0, last: parsed.Close}
 		path, _, _ := strings.Cut(request.Target, "?")
 		way := d.view().Find(request.Host, path)
-		if way != nil && way.Repeat != canon.Idempotent {
+		if way != nil && !way.Repeat.Repeatable() {
 			pending.Wait()
 		}
 		if broken.Load() || closing.Load() {
--- a/internal/passage/plan.go
+++ b/internal/passage/plan.go
@@ -53,7 +53,7 @@
 	case Turned:
 	case Broken:
 		p.MayHaveRun = true
-		if p.Way.Repeat != canon.Idempotent {
+		if !p.Way.Repeat.Repeatable() {
 			return GiveProblem, problem.Broken
 		}
 	case Silent:
