Own few backends first, probes paced by size, cold rates spread, rested streams retired

Ruled out: the leader, at 0.1 cores. Each backend is used first by three daemons of its site, drawn by hash; an owner probes what is well at a pace that follows the service's size and its own processor; where all probe, the span grows with the fleet.

--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -6,7 +6,6 @@
 package forum
 
 import (
-	"sort"
 	"sync"
 	"time"
 
@@ -58,6 +57,12 @@
 	changed chan struct{}
 	stop    chan struct{}
 
+	// Reckoned once a change, so that a beat costs nothing that grows with the
+	// fleet: how many fellows are heard, who is nearest to a site, what is cold.
+	present int
+	near    map[parley.SiteName][]parley.FellowID
+	cold    []parley.ServerID
+
 	chronicle *chronicle.Chronicle
 }
 
@@ -69,7 +74,7 @@
 		props: p, log: log, node: node, term: parley.Term(term), birth: time.Now(),
 		clock: clock, roll: census.NewRoll(clock, census.RollBounds{Absent: vigil.StandIn, Struck: struckAfter}),
 		list: census.NewList(clock), cache: vigil.NewCache(clock, 3*p.ProbeInterval+time.Second),
-		book: allot.NewBook(0, leaseSpan), view: canon.New().View(), sites: map[parley.SiteName]bool{},
+		book: allot.NewBook(0, leaseSpan), near: map[parley.SiteName][]parley.FellowID{}, view: canon.New().View(), sites: map[parley.SiteName]bool{},
 		changed: make(chan struct{}), stop: make(chan struct{}), chronicle: node.Chronicle,
 	}
 	first := term == 1
@@ -154,6 +159,7 @@
 		if f.cache.Tick(now) {
 			changed = true
 		}
+		f.cold = f.cache.Cold(now-time.Second, f.cold[:0])
 		if changed {
 			f.stir()
 		}
@@ -163,6 +169,12 @@
 
 // refreshMembers derives the shard map and the absent from the roll.
 func (f *Forum) refreshMembers() {
+	f.near, f.present = map[parley.SiteName][]parley.FellowID{}, 0
+	f.roll.Fellows.Each(func(id parley.FellowID, fellow parley.Fellow) {
+		if f.roll.Here(id) && !fellow.Stopping {
+			f.present++
+		}
+	})
 	members := f.roll.Members()
 	same := len(members) == len(f.shards.Members)
 	for i := 0; same && i < len(members); i++ {
@@ -349,12 +361,7 @@
 	if ask.Stopping {
 		return nil
 	}
-	present := 0
-	f.roll.Fellows.Each(func(id parley.FellowID, fellow parley.Fellow) {
-		if f.roll.Here(id) && !fellow.Stopping {
-			present++
-		}
-	})
+	present := f.present
 	if present == 0 {
 		return nil
 	}
@@ -372,57 +379,67 @@
 			}
 		}
 	}
-	f.list.Servers.Each(func(id parley.ServerID, server parley.Server) {
-		if server.Draining || f.cache.ColdUntil(id)+time.Second < now {
-			return
+	for _, id := range f.cold {
+		server, listed := f.list.Servers.Get(id)
+		if !listed || server.Draining || f.cache.ColdUntil(id)+time.Second < now {
+			continue
 		}
 		service := f.view.Services[string(server.Service)]
 		if service == nil || service.ColdRate <= 0 {
-			return
+			continue
 		}
-		rank, among := f.near(ask.Fellow, server)
-		bound := service.ColdRate
-		users := min(among, max(1, int(bound/3)))
-		if rank < users {
-			give(allot.Key{Kind: parley.ColdRate, Name: string(id)}, bound, 1200*time.Millisecond, bound/float64(users))
+		if user, users := f.uses(ask.Fellow, server, service.ColdRate); user {
+			give(allot.Key{Kind: parley.ColdRate, Name: string(id)}, service.ColdRate, 1200*time.Millisecond, service.ColdRate/float64(users))
 		}
-	})
+	}
 	return leases
 }
 
-// near ranks a fellow among those heard by how near it is to a backend.
-func (f *Forum) near(to parley.Fellow, server parley.Server) (rank, among int) {
-	region := f.props.Regions[string(server.Site)]
-	type placed struct {
-		id   parley.FellowID
-		far  int
-		luck parley.ServiceName
-	}
-	var order []placed
+// uses tells whether a fellow is among the few that a cold backend's rate is
+// split between: those of the nearest fellows heard that rank highest for it,
+// as they do for its ordinary use, so that many cold backends are spread.
+func (f *Forum) uses(to parley.Fellow, server parley.Server, rate float64) (user bool, users int) {
+	nearest := f.nearest(server.Site)
+	users = min(len(nearest), max(1, int(rate/3)))
+	own := vigil.Rank(string(to.ID), string(server.ID))
+	here, before := false, 0
+	for _, id := range nearest {
+		if id == to.ID {
+			here = true
+		} else if vigil.Rank(string(id), string(server.ID)) < own {
+			before++
+		}
+	}
+	return here && before < users, max(1, users)
+}
+
+// nearest lists the fellows heard in a site, or else in its region, or else
+// all. It is reckoned once a change of the roll, not once a beat.
+func (f *Forum) nearest(site parley.SiteName) (ids []parley.FellowID) {
+	if ids, known := f.near[site]; known {
+		return ids
+	}
+	region := f.props.Regions[string(site)]
+	var there, around, all []parley.FellowID
 	f.roll.Fellows.Each(func(id parley.FellowID, fellow parley.Fellow) {
-		if !f.roll.Here(id) || fellow.Stopping {
+		if !f.roll.Here(id) || fellow.Stopping || !fellow.Ready {
 			return
 		}
-		far := 2
-		if fellow.Site == server.Site {
-			far = 0
-		} else if string(fellow.Region) == region {
-			far = 1
+		all = append(all, id)
+		if fellow.Site == site {
+			there = append(there, id)
 		}
-		order = append(order, placed{id: id, far: far})
-	})
-	sort.Slice(order, func(i, j int) bool {
-		if order[i].far != order[j].far {
-			return order[i].far < order[j].far
+		if string(fellow.Region) == region {
+			around = append(around, id)
 		}
-		return order[i].id < order[j].id
 	})
-	for i := range order {
-		if order[i].id == to.ID {
-			return i, len(order)
+	for _, ids = range [][]parley.FellowID{there, around, all} {
+		if len(ids) > 0 {
+			break
 		}
 	}
-	return len(order), len(order)
+	f.near[site] = ids
+	return ids
 }
 
 // Report takes an owner's findings.
--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -120,7 +120,7 @@
 			return verdict, plan.refusal(problem.TooLate)
 		}
 		scene := d.world.Scene()
-		server, any := d.world.choose(scene, Wanted{Service: plan.Service, Homes: plan.Way.Homes, Tried: plan.Tried})
+		server, any := d.world.choose(scene, plan.wanted(plan.Tried))
 		if server == nil {
 			if any && d.mayWait(plan) {
 				time.Sleep(roomPause)
@@ -161,7 +161,7 @@
 func (d *Daemon) round(plan *Plan, server *Server, arrived *int) (round Round, answering *Server) {
 	wait := time.Duration(float64(plan.Way.Aim) * hedgePart)
 	if !plan.Way.Repeat.Repeatable() || plan.Rounds < 2 || wait <= 0 {
-		round = run(d.clock, server, plan.Request, plan.Till)
+		round = run(d.clock, server, plan.Request, plan.Till, d.rest(plan))
 		if round.Sent {
 			*arrived++
 		}
@@ -169,7 +169,7 @@
 	}
 	ends := make(chan finished, 2)
 	start := func(with *Server) {
-		go func() { ends <- finished{run(d.clock, with, plan.Request, plan.Till), with} }()
+		go func() { ends <- finished{run(d.clock, with, plan.Request, plan.Till, d.rest(plan)), with} }()
 	}
 	sentAt := d.clock.Now()
 	start(server)
@@ -197,7 +197,7 @@
 				continue
 			}
 			tried := append([]parley.ServerID{server.ID}, plan.Tried...)
-			second, _ := d.world.choose(d.world.Scene(), Wanted{Service: plan.Service, Homes: plan.Way.Homes, Tried: tried})
+			second, _ := d.world.choose(d.world.Scene(), plan.wanted(tried))
 			if second == nil || !d.budget.Spend(now, plan.Service) {
 				continue
 			}
@@ -207,6 +207,15 @@
 	}
 }
 
+// rest is how long the stream for a request may have rested: what may not run
+// twice is lost to a stream that its backend has forgotten.
+func (d *Daemon) rest(plan *Plan) (most time.Duration) {
+	if plan.Way.Repeat.Repeatable() {
+		return restFull
+	}
+	return d.props.RestOnce
+}
+
 // letGo takes an answer that is not needed any more.
 func letGo(ends <-chan finished) {
 	if end := <-ends; end.round.Verdict.Finish != nil {
--- a/internal/passage/choose.go
+++ b/internal/passage/choose.go
@@ -1,5 +1,6 @@
 // Choose picks the backend for a round from the scene: of those that may take
-// the request, the one that promises the soonest answer, with a handicap for
+// the request, the one that promises the soonest answer, by what the backend
+// told of its load or else by what this daemon has there, with a handicap for
 // each border crossed, since bytes over borders are dear and slow. A backend
 // that is cold is used only under a leased share of its cold rate.
 package passage
@@ -17,7 +18,13 @@
 	handicapSite   = 120
 	handicapRegion = 260
 	handicapDoubt  = 500
+	handicapBeyond = 40
 	usualPace      = 120
+	// goodCost is how many usual times an answer may be expected to take before
+	// others than a daemon's own few are looked at.
+	goodCost = 1.6
+	// largeBorder makes borders dearer for large answers.
+	largeBorder = 3
 )
 
 // Wanted says what a backend is wanted for.
@@ -25,6 +32,8 @@
 	Service parley.ServiceName
 	Homes   []string
 	Tried   []parley.ServerID
+	// Large tells that the answer may be a large one.
+	Large bool
 }
 
 func (w Wanted) tried(id parley.ServerID) bool {
@@ -48,81 +57,122 @@
 	return false
 }
 
-// choose names the backend, or tells whether there is any at all.
+// chooser weighs backends for one round.
+type chooser struct {
+	world   *World
+	scene   *Scene
+	wanted  Wanted
+	now     time.Duration
+	streams int
+	usual   float64
+	border  float64
+
+	best, out         *Server
+	bestCost, outCost float64
+	any               bool
+}
+
+// choose names the backend, or tells whether there is any at all. The daemon's
+// own few are looked at first, the rest only where those have nothing good.
 func (w *World) choose(scene *Scene, wanted Wanted) (chosenServer *Server, any bool) {
-	now := w.clock.Now()
-	service := scene.View.Services[string(wanted.Service)]
-	spread := max(1, scene.Sharers)
-	bestCost := 0.0
-	var outServer *Server
-	outCost := 0.0
-	for _, server := range scene.Services[wanted.Service] {
-		if scene.Evacuate[server.Site] || !allowed(wanted.Homes, server.Region) || wanted.tried(server.ID) {
-			continue
-		}
-		server.mu.Lock()
-		if server.Draining {
-			server.mu.Unlock()
-			continue
-		}
-		any = true
-		slots := max(1, server.Slots)
-		room := max(2, (3*slots+spread-1)/spread)
-		if service != nil && service.Streams > 0 {
-			room = min(room, max(1, service.Streams/spread))
-		}
-		full := server.burden >= room
-		cold := now < server.coldTill
-		pace := server.pace
-		if server.paceAt == 0 {
-			pace = usualPace
-		} else if age := now - server.paceAt; age > 5*time.Second {
-			pace = min(pace, usualPace)
-		}
-		cost := pace * (1 + float64(server.burden)*min(1, float64(spread)/float64(slots)))
-		if server.doubted(now) {
-			cost += handicapDoubt
-		}
-		out, down, burden := now < server.outTill, server.health == parley.Down, server.burden
-		allowance := 0
-		if cold {
-			allowance = server.cold.Sum(now)
+	c := &chooser{world: w, scene: scene, wanted: wanted, now: w.clock.Now(), usual: usualPace, border: 1}
+	if service := scene.View.Services[string(wanted.Service)]; service != nil {
+		c.streams = service.Streams
+	}
+	if wanted.Large {
+		c.border = largeBorder
+	}
+	near, beyond := scene.Near[wanted.Service], scene.Beyond[wanted.Service]
+	if len(near) > 0 {
+		c.usual = near[0].habit.Usual(usualPace)
+	} else if len(beyond) > 0 {
+		c.usual = beyond[0].habit.Usual(usualPace)
+	}
+	for _, server := range near {
+		c.weigh(server, true)
+	}
+	if c.best == nil || c.bestCost > goodCost*c.usual {
+		for _, server := range beyond {
+			c.weigh(server, false)
 		}
+	}
+	if c.best == nil {
+		c.best = c.out
+	}
+	return c.best, c.any
+}
+
+// weigh takes one backend into account.
+func (c *chooser) weigh(server *Server, near bool) {
+	w, now := c.world, c.now
+	if c.scene.Evacuate[server.Site] || !allowed(c.wanted.Homes, server.Region) || c.wanted.tried(server.ID) {
+		return
+	}
+	share := max(1, c.scene.Sharers)
+	if near {
+		share = min(share, max(1, c.scene.Share))
+	}
+	server.mu.Lock()
+	if server.Draining {
 		server.mu.Unlock()
-		if full {
-			continue
-		}
-		if cold {
-			if float64(allowance)+1 > w.Share(parley.ColdRate, string(server.ID)) || burden > 0 {
-				continue
-			}
-			cost = 2*cost + 100
-		}
-		switch {
-		case string(server.Site) == w.props.Site:
-		case string(server.Region) == w.props.Region:
-			cost += handicapSite
-		default:
-			cost += handicapRegion
-		}
-		cost *= 0.85 + 0.3*rand.Float64()
-		if out || down {
-			if down && out {
-				continue
-			}
-			if outServer == nil || cost < outCost {
-				outServer, outCost = server, cost
-			}
-			continue
+		return
+	}
+	c.any = true
+	slots := max(1, server.Slots)
+	room := max(2, (3*slots+share-1)/share)
+	if c.streams > 0 {
+		room = min(room, max(1, c.streams/share))
+	}
+	cold := now < server.coldTill
+	pace := server.pace
+	if server.paceAt == 0 {
+		pace = c.usual
+	} else if age := now - server.paceAt; age > 5*time.Second {
+		pace = min(pace, c.usual)
+	}
+	jobs, told := server.jobs(now, share)
+	queue := jobs / float64(slots)
+	if !told {
+		queue = min(queue, float64(server.burden))
+	}
+	cost := pace * (1 + queue)
+	if server.doubted(now) {
+		cost += handicapDoubt
+	}
+	out, down, burden := now < server.outTill, server.health == parley.Down, server.burden
+	allowance := 0
+	if cold {
+		allowance = server.cold.Sum(now)
+	}
+	server.mu.Unlock()
+	if burden >= room {
+		return
+	}
+	if cold {
+		if float64(allowance)+1 > w.Share(parley.ColdRate, string(server.ID)) || burden > 0 {
+			return
 		}
-		if chosenServer == nil || cost < bestCost {
-			chosenServer, bestCost = server, cost
+		cost = 2*cost + 100
+	}
+	switch {
+	case near:
+	case string(server.Site) == w.props.Site:
+		cost += handicapBeyond
+	case string(server.Region) == w.props.Region:
+		cost += handicapSite * c.border
+	default:
+		cost += handicapRegion * c.border
+	}
+	cost *= 0.85 + 0.3*rand.Float64()
+	if out || down {
+		if !(down && out) && (c.out == nil || cost < c.outCost) {
+			c.out, c.outCost = server, cost
 		}
+		return
 	}
-	if chosenServer == nil {
-		chosenServer = outServer
+	if c.best == nil || cost < c.bestCost {
+		c.best, c.bestCost = server, cost
 	}
-	return chosenServer, any
 }
 
 // target picks a way's service by weight.
--- a/internal/passage/plan.go
+++ b/internal/passage/plan.go
@@ -27,6 +27,11 @@
 	dials      int
 }
 
+// wanted says what backend the next round is for.
+func (p *Plan) wanted(tried []parley.ServerID) (wanted Wanted) {
+	return Wanted{Service: p.Service, Homes: p.Way.Homes, Tried: tried, Large: p.Way.Repeat == canon.Download}
+}
+
 // Step is what the plan wants next.
 type Step uint8
 
@@ -51,7 +56,7 @@
 			return GiveProblem, p.refusal(problem.NoBackend)
 		}
 	case Turned:
-	case Broken:
+	case Broken, Forgotten:
 		p.MayHaveRun = true
 		if !p.Way.Repeat.Repeatable() {
 			return GiveProblem, problem.Broken
--- a/internal/passage/probe.go
+++ b/internal/passage/probe.go
@@ -1,11 +1,13 @@
 // Prober probes the backends of the services that the watch gives this daemon
 // and reports what it finds: changes at once, and with each round of a service
 // that the round was made, so that the cache can tell a stalled owner. Probes
-// go over the same pools as requests and are spread over the interval.
+// go over the same pools as requests and are spread over the interval, which
+// grows with the size of the service for backends that are well.
 package passage
 
 import (
 	"errors"
+	"math/rand"
 	"net/http"
 	"sync"
 	"syscall"
@@ -19,6 +21,12 @@
 const (
 	probePhases  = 4
 	probePatient = time.Second
+	// probesPerCPU is how many probes a second a whole processor is given to.
+	probesPerCPU = 600
+	probesLeast  = 20
+	// probersEach is how many daemons may probe a backend in one interval.
+	probersEach = 2
+	pruneSpan   = 10 * time.Second
 )
 
 // Finding is what one probe found.
@@ -36,8 +44,8 @@
 type watchedServer struct {
 	state   parley.State
 	silent  int
-	known   bool
 	changed bool
+	due     time.Duration
 }
 
 // Prober probes.
@@ -47,6 +55,7 @@
 	found  map[parley.ServerID]*watchedServer
 	told   map[parley.ServiceName]parley.Term
 	phase  int
+	pruned time.Duration
 }
 
 // NewProber has found nothing yet.
@@ -74,14 +83,22 @@
 	scene := d.world.Scene()
 	p.phase = (p.phase + 1) % probePhases
 	mine := map[parley.ServiceName]bool{}
+	backends := 0
 	for _, service := range duties {
 		mine[service] = true
+		backends += len(scene.Services[service])
+	}
+	pace := p.pace(backends, d.world.Alone(), len(scene.Fellows))
+	now := d.clock.Now()
+	room := pace.most
+	for _, service := range duties {
 		way := scene.View.Services[string(service)]
 		if way == nil {
 			continue
 		}
-		for i, server := range scene.Services[service] {
-			if i%probePhases == p.phase && !server.Draining {
+		for _, server := range scene.Services[service] {
+			if !server.Draining && room > 0 && p.owed(now, server, pace) {
+				room--
 				go p.probe(server, way.HealthPath, term, count)
 			}
 		}
@@ -96,6 +113,74 @@
 		}
 	}
 	p.mu.Unlock()
+	if now-p.pruned > pruneSpan {
+		p.pruned = now
+		p.prune(scene)
+	}
+}
+
+// Pace is how often a daemon probes: backends that are well at one interval,
+// those in doubt at another, and never more at once than most.
+type Pace struct {
+	well, doubt time.Duration
+	most        int
+}
+
+// pace follows the number of backends to probe and the daemon's share of a
+// processor, so that a large service does not use its owner up. Where all
+// daemons probe, each takes a span that grows with the fleet, so that together
+// they do not flood the backends.
+func (p *Prober) pace(backends int, alone bool, fellows int) (pace Pace) {
+	interval := p.daemon.props.ProbeInterval
+	rate := max(probesLeast, probesPerCPU*p.daemon.props.CPUShare)
+	pace.well = max(interval, time.Duration(float64(backends)/rate*float64(time.Second)))
+	pace.doubt = interval
+	if !alone {
+		together := interval * time.Duration(max(1, fellows/probersEach))
+		pace.well, pace.doubt = max(pace.well, together), max(pace.doubt, together)
+	}
+	pace.most = max(4, int(2*rate*interval.Seconds()/probePhases))
+	return pace
+}
+
+// owed tells whether a backend's next probe is due, and sets the one after it.
+func (p *Prober) owed(now time.Duration, server *Server, pace Pace) (owed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.found[server.ID]
+	if held == nil {
+		held = &watchedServer{state: parley.State{Server: server.ID}}
+		held.due = now + time.Duration(rand.Float64()*float64(pace.doubt))
+		p.found[server.ID] = held
+	}
+	interval := pace.well
+	if held.state.Health != parley.Up || held.state.Cold > 0 || server.doubtful(now) {
+		interval = pace.doubt
+	}
+	// What is due later than the pace has it was set at another pace.
+	held.due = min(held.due, now+interval)
+	if now < held.due {
+		return false
+	}
+	held.due = now + time.Duration((0.9+0.2*rand.Float64())*float64(interval))
+	return true
+}
+
+// prune forgets backends that are gone.
+func (p *Prober) prune(scene *Scene) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := make(map[parley.ServerID]bool, len(p.found))
+	for _, servers := range scene.Services {
+		for _, server := range servers {
+			listed[server.ID] = true
+		}
+	}
+	for id := range p.found {
+		if !listed[id] {
+			delete(p.found, id)
+		}
+	}
 }
 
 func (p *Prober) probe(server *Server, path string, term parley.Term, count parley.Epoch) {
@@ -172,9 +257,6 @@
 		}
 		ask.Full = len(ask.States) == len(servers)
 	}
-	if len(p.found) > 4096 {
-		p.found = map[parley.ServerID]*watchedServer{}
-	}
 	p.mu.Unlock()
 	if d.link.Report(ask) && ask.Full {
 		p.mu.Lock()
@@ -188,7 +270,7 @@
 	now := clock.Now()
 	var stream *Stream
 	if !anew {
-		stream = server.take(now)
+		stream = server.take(now, restFull)
 	}
 	if stream == nil {
 		var err error
--- a/internal/passage/round.go
+++ b/internal/passage/round.go
@@ -33,6 +33,7 @@
 	headNotRun   = "Tinpin-Not-Executed"
 	headInstance = "Tinpin-Instance-Id"
 	headCold     = "Tinpin-Cold-Remaining"
+	headLoad     = "Tinpin-Instance-Load"
 )
 
 const (
@@ -60,6 +61,10 @@
 	Broken
 	// Silent: no answer within the time.
 	Silent
+	// Forgotten: a stream that had rested was reset before any byte of an
+	// answer came. The backend had most likely forgotten it, but nothing proves
+	// that the request has not run.
+	Forgotten
 )
 
 // Request is a client's request as it is passed on.
@@ -142,8 +147,9 @@
 	Sent bool
 }
 
-// run sends the request to the server and reads the answer.
-func run(clock Clock, server *Server, request *Request, till time.Duration) (round Round) {
+// run sends the request to the server and reads the answer, over a stream that
+// has rested no longer than rest.
+func run(clock Clock, server *Server, request *Request, till, rest time.Duration) (round Round) {
 	begun := clock.Now()
 	server.begin(begun)
 	defer func() {
@@ -152,7 +158,7 @@
 			server.end(now, now-begun, round.Outcome)
 		}
 	}()
-	stream := server.take(begun)
+	stream := server.take(begun, rest)
 	if stream == nil {
 		var err error
 		if stream, err = server.dial(till - begun); err != nil {
@@ -175,6 +181,9 @@
 		return Round{Outcome: Broken, Sent: true}
 	}
 	round = receive(clock, stream, request, begun)
+	if round.Outcome == Forgotten {
+		server.habit.Forgot(clock.Now(), begun-stream.restAt)
+	}
 	round.Sent = true
 	return round
 }
@@ -187,8 +196,11 @@
 		response, err := http.ReadResponse(stream.in, &http.Request{Method: request.Method})
 		if err != nil {
 			server.drop(stream)
-			if isTimeout(err) {
+			switch {
+			case isTimeout(err):
 				return Round{Outcome: Silent}
+			case !stream.fresh && skipped == 0 && errors.Is(err, syscall.ECONNRESET):
+				return Round{Outcome: Forgotten}
 			}
 			return Round{Outcome: Broken}
 		}
@@ -227,6 +239,9 @@
 				server.chill(clock.Now(), left)
 			}
 		}
+		if load := response.Header.Get(headLoad); load != "" {
+			server.hear(clock.Now(), load)
+		}
 		keep := keepFor(response)
 		settle := func(good bool) {
 			if good && !response.Close && stream.in.Buffered() == 0 && keep > 0 {
--- a/internal/passage/server.go
+++ b/internal/passage/server.go
@@ -20,6 +20,7 @@
 	outLeast    = 400 * time.Millisecond
 	outMost     = 4 * time.Second
 	doubtLeast  = 150 * time.Millisecond
+	loadAge     = 1500 * time.Millisecond
 )
 
 // Server is a backend and its pool.
@@ -42,10 +43,19 @@
 	idle     []*Stream
 	cold     *allot.Window
 	closed   bool
+	habit    *Habit
+	load     toldLoad
 }
 
-func newServer(listed parley.Server, region parley.RegionName) (server *Server) {
-	return &Server{Server: listed, Region: region, cold: allot.NewWindow(time.Second)}
+// toldLoad is what a backend said it had to do, and what was sent to it since.
+type toldLoad struct {
+	jobs  int
+	since int
+	at    time.Duration
+}
+
+func newServer(listed parley.Server, region parley.RegionName, habit *Habit) (server *Server) {
+	return &Server{Server: listed, Region: region, cold: allot.NewWindow(time.Second), habit: habit}
 }
 
 // Stream is one connection to a backend; it carries one request at a time.
@@ -55,6 +65,7 @@
 	in      *lineReader
 	server  *Server
 	fresh   bool
+	restAt  time.Duration
 	closeBy time.Duration
 }
 
@@ -72,8 +83,9 @@
 	return quiet && err == nil
 }
 
-// take gives an idle stream that can be used, newest first, or nil.
-func (s *Server) take(now time.Duration) (stream *Stream) {
+// take gives an idle stream that can be used, newest first, or nil. One that has
+// rested longer than most is left where it is.
+func (s *Server) take(now, most time.Duration) (stream *Stream) {
 	for {
 		s.mu.Lock()
 		last := len(s.idle) - 1
@@ -82,6 +94,10 @@
 			return nil
 		}
 		stream = s.idle[last]
+		if now-stream.restAt > most {
+			s.mu.Unlock()
+			return nil
+		}
 		s.idle = s.idle[:last]
 		s.mu.Unlock()
 		if now < stream.closeBy && stream.quiet() {
@@ -125,7 +141,7 @@
 
 // give puts a stream back that is fit to be used again.
 func (s *Server) give(now time.Duration, stream *Stream, keep time.Duration) {
-	stream.closeBy = now + keep
+	stream.restAt, stream.closeBy = now, now+min(keep, s.habit.Rest(now))
 	s.mu.Lock()
 	if s.closed || len(s.idle) >= 32 {
 		s.mu.Unlock()
@@ -163,6 +179,7 @@
 		s.sentAt = now
 	}
 	s.burden++
+	s.load.since++
 	if now < s.coldTill+time.Second {
 		s.cold.Add(now)
 	}
@@ -180,6 +197,8 @@
 	case Whole:
 		s.outSpan = 0
 		s.learn(now, float64(took)/float64(time.Millisecond))
+		s.habit.Took(took)
+	case Forgotten:
 	case NotSent, Broken:
 		s.out(now)
 	case Turned:
@@ -199,6 +218,13 @@
 	return now-max(s.sentAt, s.heardAt) > doubtLeast+time.Duration(s.pace*float64(time.Millisecond))
 }
 
+// doubtful tells that a backend is held out here, or owes answers.
+func (s *Server) doubtful(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now < s.outTill || now < s.coldTill || s.doubted(now)
+}
+
 // silentSince tells that nothing was heard from the backend since a moment.
 func (s *Server) silentSince(moment time.Duration) bool {
 	s.mu.Lock()
@@ -256,6 +282,31 @@
 	}
 }
 
+// hear notes the load that the backend tells of itself.
+func (s *Server) hear(now time.Duration, text string) {
+	jobs, told := loadOf(text)
+	if !told {
+		return
+	}
+	s.mu.Lock()
+	// The one that was answered is still counted in what is told.
+	s.load = toldLoad{jobs: max(0, jobs-1), at: now}
+	s.mu.Unlock()
+}
+
+// jobs reckons what the backend has to do: what it told lately and what was
+// sent to it since, else what this daemon has there, taken for the others that
+// use it as well. The caller holds the lock.
+func (s *Server) jobs(now time.Duration, share int) (jobs float64, told bool) {
+	own := float64(s.burden) * float64(share)
+	age := now - s.load.at
+	if s.load.at == 0 || age >= loadAge {
+		return own, false
+	}
+	part := float64(age) / float64(loadAge)
+	return max(float64(s.burden), float64(s.load.jobs+s.load.since)*(1-part)+own*part), true
+}
+
 // chill marks the backend cold by its own word.
 func (s *Server) chill(now, left time.Duration) {
 	s.mu.Lock()
--- a/internal/passage/standin_test.go
+++ b/internal/passage/standin_test.go
@@ -109,7 +109,7 @@
 // and has three ways: /safe/, /once/ and /key/.
 func daemonOf(t *testing.T, backends ...*standIn) (d *Daemon) {
 	t.Helper()
-	p := props.Props{Name: "edge-1", Site: "here", Region: "land", Regions: map[string]string{"here": "land", "there": "far"}, MemoryMB: 64, Descriptors: 1024, SendInterval: time.Second, ProbeInterval: time.Second}
+	p := props.Props{Name: "edge-1", Site: "here", Region: "land", Regions: map[string]string{"here": "land", "there": "far"}, MemoryMB: 64, Descriptors: 1024, SendInterval: time.Second, ProbeInterval: time.Second, Sharers: 3, RestOnce: time.Minute, CPUShare: 1}
 	p.Bounds = props.Bounds{RetryRatio: 100, RetryWindow: 10 * time.Second, KeyWindow: time.Minute, TTLMax: 5 * time.Second, Grace: time.Second}
 	clock := NewClock()
 	d = &Daemon{props: p, log: events.Quiet(), clock: clock, life: 1}
--- /dev/null
+++ b/internal/passage/subset.go
@@ -0,0 +1,53 @@
+// Subset gives each daemon its own few backends of a service to use first.
+// Where every daemon uses every backend, streams and handshakes grow with
+// daemons times backends and no daemon sees enough of any one backend to judge
+// it. So each backend is used first by a fixed number of the ready daemons of
+// its own site: those that rank highest for it by hash. Every backend is in
+// equally many subsets, all daemons reckon alike, and a daemon more or less
+// moves only its own share. The others remain as a fallback.
+package passage
+
+import (
+	"tinpin/internal/parley"
+	"tinpin/internal/vigil"
+)
+
+// Subset tells which backends of a site a daemon uses first.
+type Subset struct {
+	self    parley.FellowID
+	fellows []parley.FellowID
+	// Sharers is how many daemons use each backend first.
+	Sharers int
+}
+
+// NewSubset reckons with the ready daemons of self's site, self among them.
+func NewSubset(self parley.FellowID, site parley.SiteName, fellows map[parley.FellowID]parley.Fellow, sharers int) (subset Subset) {
+	subset = Subset{self: self, fellows: []parley.FellowID{self}}
+	for id, fellow := range fellows {
+		if id != self && fellow.Site == site && fellow.Ready && !fellow.Stopping {
+			subset.fellows = append(subset.fellows, id)
+		}
+	}
+	subset.Sharers = min(max(1, sharers), len(subset.fellows))
+	return subset
+}
+
+// Holds tells whether self is among those that use the backend first.
+func (s Subset) Holds(server parley.ServerID) (holds bool) {
+	if s.Sharers == len(s.fellows) {
+		return true
+	}
+	own := vigil.Rank(string(s.self), string(server))
+	before := 0
+	for _, id := range s.fellows {
+		if id == s.self {
+			continue
+		}
+		if rank := vigil.Rank(string(id), string(server)); rank < own || rank == own && id < s.self {
+			if before++; before >= s.Sharers {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/passage/subset_test.go
@@ -0,0 +1,67 @@
+package passage
+
+import (
+	"fmt"
+	"testing"
+
+	"tinpin/internal/parley"
+)
+
+func siteOf(count int) (fellows map[parley.FellowID]parley.Fellow) {
+	fellows = map[parley.FellowID]parley.Fellow{}
+	for i := range count {
+		id := parley.FellowID(fmt.Sprint("edge-", i))
+		fellows[id] = parley.Fellow{ID: id, Site: "harbour", Ready: true}
+	}
+	return fellows
+}
+
+// Every backend is used first by equally many daemons, and no daemon is left
+// without a fair part.
+func TestSubsetsAreEven(t *testing.T) {
+	const daemons, backends, sharers = 14, 54, 3
+	fellows := siteOf(daemons)
+	fellows["far"] = parley.Fellow{ID: "far", Site: "hill", Ready: true}
+	fellows["going"] = parley.Fellow{ID: "going", Site: "harbour", Ready: true, Stopping: true}
+	users, sizes := map[parley.ServerID]int{}, map[parley.FellowID]int{}
+	for i := range daemons {
+		self := parley.FellowID(fmt.Sprint("edge-", i))
+		subset := NewSubset(self, "harbour", fellows, sharers)
+		for j := range backends {
+			if id := parley.ServerID(fmt.Sprint("i-", j)); subset.Holds(id) {
+				users[id]++
+				sizes[self]++
+			}
+		}
+	}
+	for id, count := range users {
+		if count != sharers {
+			t.Errorf("%s is used by %d daemons, want %d", id, count, sharers)
+		}
+	}
+	if len(users) != backends || len(sizes) != daemons {
+		t.Fatalf("%d of %d backends are used, by %d of %d daemons", len(users), backends, len(sizes), daemons)
+	}
+	for id, size := range sizes {
+		if mean := float64(backends*sharers) / daemons; float64(size) < 0.4*mean || float64(size) > 1.8*mean {
+			t.Errorf("%s uses %d backends, the mean is %.1f", id, size, mean)
+		}
+	}
+}
+
+// A daemon more changes only the backends it takes up.
+func TestSubsetsMoveOnlyTheShareOfANewDaemon(t *testing.T) {
+	const backends, sharers = 200, 3
+	before, after := siteOf(10), siteOf(11)
+	taken := NewSubset("edge-10", "harbour", after, sharers)
+	for i := range 10 {
+		self := parley.FellowID(fmt.Sprint("edge-", i))
+		old, now := NewSubset(self, "harbour", before, sharers), NewSubset(self, "harbour", after, sharers)
+		for j := range backends {
+			id := parley.ServerID(fmt.Sprint("i-", j))
+			if old.Holds(id) != now.Holds(id) && (now.Holds(id) || !taken.Holds(id)) {
+				t.Errorf("%s moved at %s though the new daemon did not take it", id, self)
+			}
+		}
+	}
+}
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -23,8 +23,12 @@
 type Scene struct {
 	View     *canon.View
 	Services map[parley.ServiceName][]*Server
-	Evacuate map[parley.SiteName]bool
-	Fellows  map[parley.FellowID]parley.Fellow
+	// Near are the backends of a service that this daemon uses first, Beyond
+	// all others; Share is how many daemons use each of the near ones.
+	Near, Beyond map[parley.ServiceName][]*Server
+	Share        int
+	Evacuate     map[parley.SiteName]bool
+	Fellows      map[parley.FellowID]parley.Fellow
 	// Sharers counts the daemons that share the backends now.
 	Sharers int
 	Started bool
@@ -56,6 +60,7 @@
 	shares   *allot.Shares
 	scene    atomic.Pointer[Scene]
 	sharesMu sync.Mutex
+	habits   map[parley.ServiceName]*Habit
 }
 
 // NewWorld knows nothing yet.
@@ -64,7 +69,7 @@
 		props: p, log: log, clock: clock, Chronicle: chronicle.New(log), canon: canon.New(), servers: map[parley.ServerID]*Server{},
 		evac: map[parley.SiteName]parley.Evacuation{}, fellows: map[parley.FellowID]parley.Fellow{}, cores: map[string]bool{},
 		watch:  vigil.NewWatch(parley.FellowID(p.Name), p.SendInterval, clock.Now()),
-		shares: allot.NewShares(),
+		shares: allot.NewShares(), habits: map[parley.ServiceName]*Habit{},
 	}
 	world.viewed = world.canon.View()
 	world.refresh()
@@ -195,6 +200,16 @@
 	}
 }
 
+// habit gives what is known of a service as a whole; the caller holds the lock.
+func (w *World) habit(service parley.ServiceName) (habit *Habit) {
+	habit = w.habits[service]
+	if habit == nil {
+		habit = &Habit{}
+		w.habits[service] = habit
+	}
+	return habit
+}
+
 // list takes changes of the list; a full telling drops what it does not name.
 func (w *World) list(now time.Duration, changes []parley.ServerChange, full bool) {
 	named := map[parley.ServerID]bool{}
@@ -211,7 +226,7 @@
 			continue
 		}
 		if server == nil {
-			server = newServer(change.Server, parley.RegionName(w.props.Regions[string(change.Site)]))
+			server = newServer(change.Server, parley.RegionName(w.props.Regions[string(change.Site)]), w.habit(change.Service))
 			if change.Cold > 0 {
 				server.chill(now, change.Cold)
 			}
@@ -250,7 +265,7 @@
 
 // refresh builds the scene anew.
 func (w *World) refresh() {
-	scene := &Scene{View: w.viewed, Services: map[parley.ServiceName][]*Server{}, Evacuate: map[parley.SiteName]bool{}, Fellows: map[parley.FellowID]parley.Fellow{}, Listed: w.listed, Rev: w.rev}
+	scene := &Scene{View: w.viewed, Services: map[parley.ServiceName][]*Server{}, Near: map[parley.ServiceName][]*Server{}, Beyond: map[parley.ServiceName][]*Server{}, Evacuate: map[parley.SiteName]bool{}, Fellows: map[parley.FellowID]parley.Fellow{}, Listed: w.listed, Rev: w.rev}
 	for _, server := range w.servers {
 		scene.Services[server.Service] = append(scene.Services[server.Service], server)
 	}
@@ -268,6 +283,17 @@
 			scene.Sharers++
 		}
 	}
+	subset := NewSubset(parley.FellowID(w.props.Name), parley.SiteName(w.props.Site), w.fellows, w.props.Sharers)
+	scene.Share = subset.Sharers
+	for service, servers := range scene.Services {
+		for _, server := range servers {
+			if string(server.Site) == w.props.Site && subset.Holds(server.ID) {
+				scene.Near[service] = append(scene.Near[service], server)
+			} else {
+				scene.Beyond[service] = append(scene.Beyond[service], server)
+			}
+		}
+	}
 	scene.Started = !w.canon.Empty()
 	w.scene.Store(scene)
 }
@@ -315,6 +341,13 @@
 	return w.watch.Duties(), shards.Term, shards.Count
 }
 
+// Alone tells that this daemon probes only what it owns, not with all others.
+func (w *World) Alone() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.watch.Headless() && !w.watch.Unsettled()
+}
+
 // Duties lists the services this daemon probes now.
 func (w *World) Duties() (duties []parley.ServiceName) {
 	w.mu.Lock()
--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -41,6 +41,13 @@
 	Bounds                            Bounds
 	SendInterval, ProbeInterval       time.Duration
 	ListInterval                      time.Duration
+	// Sharers is how many daemons of a site use each backend first.
+	Sharers int
+	// RestOnce is how long a stream may have rested that carries a request
+	// which may not run twice.
+	RestOnce time.Duration
+	// CPUShare is the part of a processor this daemon has.
+	CPUShare float64
 }
 
 // reader walks the parsed file and gathers what is wrong with it.
@@ -187,6 +194,9 @@
 	props.SendInterval = r.span(v, "send_interval", 15*time.Second)
 	props.ProbeInterval = r.span(v, "probe_interval", time.Second)
 	props.ListInterval = r.span(v, "list_interval", time.Second)
+	props.Sharers = int(r.number(v, "backend_sharers", 1, 3))
+	props.RestOnce = r.span(v, "rest_once", 250*time.Millisecond)
+	props.CPUShare = r.number(v, "cpu_share", 0.001, 1)
 	if props.ProbeInterval < 10*time.Millisecond {
 		r.fail("probe_interval", "must be 10ms or more")
 	}
--- a/internal/vigil/cache.go
+++ b/internal/vigil/cache.go
@@ -103,6 +103,16 @@
 // ColdUntil gives the end of a backend's cold spell on the leader's clock.
 func (c *Cache) ColdUntil(server parley.ServerID) (until time.Duration) { return c.until[server] }
 
+// Cold lists the backends whose cold spell ends after a moment.
+func (c *Cache) Cold(after time.Duration, into []parley.ServerID) (cold []parley.ServerID) {
+	for server, until := range c.until {
+		if until > 0 && until >= after {
+			into = append(into, server)
+		}
+	}
+	return into
+}
+
 // Tick ages the states.
 func (c *Cache) Tick(now time.Duration) (changed bool) {
 	for service, held := range c.owners {
