Tell the list and the items in parts, ask who leads with a small question

Cause: after a change of leader a full list is owed to every daemon; over 2 Mbit/s it took longer than the 200 ms a seeking daemon waited, the call was given up, its stream dropped, and the next try began anew: edge-toledo-b-4 found no leader for six seconds and answered 404 for a way acknowledged before (CONFIG). Ruled out: lost news (others had them within 0.4 s).

--- a/internal/canon/canon.go
+++ b/internal/canon/canon.go
@@ -123,6 +123,38 @@
 	return items
 }
 
+// After lists what lies behind a place: items in the order of their places in
+// the log and then of their paths, no more of them than the room for their
+// bytes. Done tells that nothing is left out.
+func (c *Canon) After(rev uint64, path string, room int) (items []Item, done bool) {
+	for _, item := range c.items {
+		if item.Rev > rev || item.Rev == rev && item.Path() > path {
+			items = append(items, item.Item)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool {
+		if items[i].Rev != items[j].Rev {
+			return items[i].Rev < items[j].Rev
+		}
+		return items[i].Path() < items[j].Path()
+	})
+	for i, item := range items {
+		if room -= item.size(); room < 0 && i > 0 {
+			return items[:i], false
+		}
+	}
+	return items, true
+}
+
+// size is about how many bytes an item takes on the way.
+func (i Item) size() (size int) {
+	size = 24 + len(i.Name)
+	for _, field := range i.Fields {
+		size += 4 + len(field.Name) + len(field.JSON)
+	}
+	return size
+}
+
 // Empty tells that nothing was ever set.
 func (c *Canon) Empty() bool { return len(c.items) == 0 }
 
--- a/internal/forum/desk.go
+++ b/internal/forum/desk.go
@@ -40,6 +40,18 @@
 	return nil
 }
 
+// Lead tells who leads.
+func (d *Desk) Lead(_ parley.LeadAsk, reply *parley.LeadReply) (err error) {
+	if forum := d.forum.Load(); forum != nil {
+		reply.Leader, reply.Term = true, forum.term
+	}
+	_, _, _, _, members := d.node.Standing()
+	for _, member := range members {
+		reply.Cores = append(reply.Cores, parley.Core{Inner: member.Inner, Control: member.Control})
+	}
+	return nil
+}
+
 // Report takes an owner's findings.
 func (d *Desk) Report(ask parley.ReportAsk, reply *parley.ReportReply) (err error) {
 	if forum := d.forum.Load(); forum != nil {
--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -6,6 +6,7 @@
 package forum
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	gatherEach  = 500 * time.Microsecond
 	gatherMost  = 250 * time.Millisecond
 	longestHold = 2 * time.Second
+	// What a small link gets at once of the list and of the items.
+	partRows  = 64
+	itemsRoom = 24 << 10
 )
 
 // Forum is open while this core leads.
@@ -60,6 +64,7 @@
 	// Reckoned once a change, so that a beat costs nothing that grows with the
 	// fleet: how many fellows are heard, who is nearest to a site, what is cold.
 	present int
+	moved   bool
 	near    map[parley.SiteName][]parley.FellowID
 	cold    []parley.ServerID
 
@@ -150,6 +155,7 @@
 		f.mu.Lock()
 		now := f.now()
 		lost, changed := f.roll.Tick(now)
+		changed, f.moved = changed || f.moved, false
 		for _, id := range lost {
 			f.log.Say(events.FellowLost, "fellow", string(id))
 		}
@@ -270,10 +276,9 @@
 	if joined {
 		f.log.Say(events.FellowJoined, "fellow", string(ask.ID), "life", uint64(ask.Life))
 	}
-	if changed || joined {
-		f.refreshMembers()
-		f.stir()
-	}
+	// Who came or changed is told with the next turn of tend: after a change of
+	// leader all come at once, and each would wake all the others.
+	f.moved = f.moved || changed || joined
 	for !f.due(ask) {
 		changed := f.changed
 		f.mu.Unlock()
@@ -290,6 +295,10 @@
 		f.mu.Lock()
 	}
 	present := time.Duration(f.roll.Count())
+	if !ask.Listed || ask.ItemAt != parley.AllItems {
+		// In the middle of what comes in parts, nothing is gathered.
+		present = 0
+	}
 	f.mu.Unlock()
 	// What comes together goes out together; in a large fleet, where each
 	// change goes to many, more of it is waited for.
@@ -304,13 +313,54 @@
 	if ask.Term != f.term {
 		return true
 	}
-	return ask.Epoch < f.clock.Now() || ask.Rev < f.rev || ask.Hold <= 0 || !ask.Listed && f.list.Walked
+	return ask.Epoch < f.clock.Now() || f.owesItems(ask.Seen) || ask.Hold <= 0 || !ask.Listed && f.list.Walked
+}
+
+// owesItems tells whether there are items that a fellow lacks.
+func (f *Forum) owesItems(seen parley.Seen) bool {
+	return seen.Rev < f.rev || seen.ItemAt != parley.AllItems
+}
+
+// tellItems tells a part of what a fellow lacks.
+func (f *Forum) tellItems(state *accord.State, seen parley.Seen, news *parley.News) {
+	done := false
+	if news.Items, done = state.Canon.After(seen.Rev, seen.ItemAt, itemsRoom); done {
+		news.Rev, news.ItemAt = max(seen.Rev, state.Rev), parley.AllItems
+	} else if last := len(news.Items) - 1; last >= 0 {
+		news.Rev, news.ItemAt = news.Items[last].Rev, news.Items[last].Path()
+	}
+	for _, evacuation := range state.Evacuations {
+		if evacuation.Rev >= seen.Rev {
+			news.Evacuations = append(news.Evacuations, parley.Evacuation{Site: parley.SiteName(evacuation.Site), Active: evacuation.Active, Rev: evacuation.Rev})
+		}
+	}
+}
+
+// part gives the part of the list behind an id.
+func (f *Forum) part(now time.Duration, after parley.ServerID) (part *parley.ListPart) {
+	var ids []parley.ServerID
+	f.list.Servers.Each(func(id parley.ServerID, _ parley.Server) {
+		if id > after {
+			ids = append(ids, id)
+		}
+	})
+	slices.Sort(ids)
+	part = &parley.ListPart{At: after, Done: len(ids) <= partRows}
+	for _, id := range ids[:min(len(ids), partRows)] {
+		server, _ := f.list.Servers.Get(id)
+		part.Servers = append(part.Servers, server)
+		if state, known := f.cache.States.Get(id); known {
+			part.States = append(part.States, f.cache.Remaining(now, state))
+		}
+		part.At = id
+	}
+	return part
 }
 
 func (f *Forum) tell(ask parley.BeatAsk, news *parley.News) {
 	now := f.now()
 	since := ask.Epoch
-	news.Leader, news.Term, news.Epoch, news.Rev = true, f.term, f.clock.Now(), f.rev
+	news.Leader, news.Term, news.Epoch = true, f.term, f.clock.Now()
 	if ask.Term != f.term {
 		since, news.Full = 0, true
 		_, _, _, _, members := f.node.Standing()
@@ -318,24 +368,16 @@
 			news.Cores = append(news.Cores, parley.Core{Inner: member.Inner, Control: member.Control})
 		}
 	}
-	if ask.Rev < f.rev {
-		f.node.Read(func(state *accord.State) {
-			news.Rev = state.Rev
-			news.Items = state.Canon.Since(ask.Rev)
-			for _, evacuation := range state.Evacuations {
-				if evacuation.Rev > ask.Rev {
-					news.Evacuations = append(news.Evacuations, parley.Evacuation{Site: parley.SiteName(evacuation.Site), Active: evacuation.Active, Rev: evacuation.Rev})
-				}
-			}
-		})
+	news.Rev, news.ItemAt = ask.Rev, ask.ItemAt
+	if f.owesItems(ask.Seen) {
+		f.node.Read(func(state *accord.State) { f.tellItems(state, ask.Seen, news) })
 	}
-	// The list is told only once it is whole, and then first in full: a fellow
-	// may have come before it was.
-	if news.Listed = f.list.Walked; news.Listed {
-		listSince := since
-		if news.Full || !ask.Listed {
-			listSince, news.ListFull = 0, true
-		}
+	// The list is told only once it is whole; a fellow that lacks it gets it in
+	// parts, and beside them what changed since it first came.
+	if !ask.Listed && f.list.Walked {
+		news.Part = f.part(now, ask.ListAt)
+	}
+	if listSince := ask.Epoch; ask.Term == f.term && (ask.Listed || f.list.Walked) {
 		f.list.Servers.Since(listSince, func(_ parley.ServerID, server parley.Server, gone bool) {
 			news.Servers = append(news.Servers, parley.ServerChange{Server: server, Gone: gone})
 		})
--- a/internal/forum/forum_test.go
+++ b/internal/forum/forum_test.go
@@ -1,9 +1,12 @@
 package forum
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"tinpin/internal/accord"
 	"tinpin/internal/allot"
 	"tinpin/internal/canon"
 	"tinpin/internal/census"
@@ -27,7 +30,8 @@
 }
 
 // A fellow that finds a new leader before its list is whole must get all of
-// the list once it is, not only what came after its first beat.
+// the list once it is, in parts that a small link can take, and beside them
+// what changes meanwhile.
 func TestAFellowThatCameBeforeTheListGetsAllOfIt(t *testing.T) {
 	f := bare()
 	server := func(id string) parley.Server {
@@ -37,29 +41,91 @@
 	if f.Report(parley.ReportAsk{Fellow: "e", Service: "s", Full: true, States: []parley.State{{Server: "a", Health: parley.Up}}}) {
 		t.Fatal("a report was taken before the list is whole, and would not be told again")
 	}
+	ask := parley.BeatAsk{Fellow: parley.Fellow{ID: "e", Ready: true}}
 	// Its first beat made it known; this one brings no change of term.
-	ask := parley.BeatAsk{Fellow: parley.Fellow{ID: "e", Ready: true}, Term: 7, Epoch: f.clock.Now()}
+	ask.Term, ask.Epoch, ask.ItemAt = 7, f.clock.Now(), parley.AllItems
 	var first parley.News
 	f.tell(ask, &first)
-	if first.Listed || len(first.Servers) != 0 {
+	if first.Part != nil || len(first.Servers) != 0 {
 		t.Fatalf("a list that is not whole was told: %+v", first)
 	}
-	f.merge([]parley.Server{server("c")}, false)
-	f.merge([]parley.Server{server("a"), server("b"), server("c")}, true)
+	walk := []parley.Server{server("a"), server("b")}
+	for i := range 3*partRows - 2 {
+		walk = append(walk, server(fmt.Sprintf("c-%03d", i)))
+	}
+	f.merge(walk, true)
+	known := map[parley.ServerID]bool{}
 	ask.Term, ask.Epoch = first.Term, first.Epoch
-	if !f.due(ask) {
-		t.Fatal("the whole list is news")
+	for parts := 0; !ask.Listed; parts++ {
+		if !f.due(ask) || parts > 3 {
+			t.Fatalf("after %d parts: due %v", parts, f.due(ask))
+		}
+		var news parley.News
+		f.tell(ask, &news)
+		if news.Part == nil || len(news.Part.Servers) > partRows {
+			t.Fatalf("part %d is missing or too large", parts)
+		}
+		for _, row := range news.Part.Servers {
+			known[row.ID] = true
+		}
+		for _, row := range news.Servers {
+			known[row.ID] = !row.Gone
+		}
+		ask.Epoch, ask.ListAt, ask.Listed = news.Epoch, news.Part.At, news.Part.Done
+		if parts == 0 {
+			// One more that sorts before what was told, and one that goes.
+			f.merge([]parley.Server{server("aa")}, false)
+			f.list.Servers.Drop("a")
+		}
 	}
-	var second parley.News
-	f.tell(ask, &second)
-	if !second.Listed || !second.ListFull || len(second.Servers) != 3 {
-		t.Fatalf("%d of 3 backends were told", len(second.Servers))
+	if len(known) != 3*partRows+1 || !known["aa"] || known["a"] {
+		t.Fatalf("%d backends are known, aa: %v, a: %v", len(known), known["aa"], known["a"])
 	}
 	f.merge([]parley.Server{server("d")}, false)
-	ask.Epoch, ask.Listed = second.Epoch, true
-	var third parley.News
-	f.tell(ask, &third)
-	if third.ListFull || len(third.Servers) != 1 {
-		t.Fatalf("then only what changed: %d told", len(third.Servers))
+	var last parley.News
+	f.tell(ask, &last)
+	if last.Part != nil || len(last.Servers) != 1 {
+		t.Fatalf("then only what changed: %d told", len(last.Servers))
+	}
+}
+
+// A great many items come in parts, each once, and a fellow that has only some
+// of them is told the rest however the leader changes in between.
+func TestItemsComeInParts(t *testing.T) {
+	config := canon.New()
+	rows := make([]string, 1000)
+	for i := range rows {
+		rows[i] = fmt.Sprintf(`["r-%d","h.example","/p%d/","idempotent","1s","s",%d]`, i, i, i+1)
+	}
+	call := `{"upserts":{"services":{"column_names":["name","version"],"row_values":[["s",1]]},"routes":{"column_names":["name","hostname","path_prefix","route_type","timeout","service_name","version"],"row_values":[` + strings.Join(rows, ",") + `]}}}`
+	if err := config.Apply([]byte(call), 5); err != nil {
+		t.Fatal(err)
+	}
+	state := accord.NewState()
+	state.Canon, state.Rev = config, 5
+	f := bare()
+	f.rev = 5
+	known := map[string]bool{}
+	var seen parley.Seen
+	for parts := 0; f.owesItems(seen); parts++ {
+		var news parley.News
+		f.tellItems(state, seen, &news)
+		size := 0
+		for _, item := range news.Items {
+			if known[item.Path()] {
+				t.Fatalf("%s is told twice", item.Path())
+			}
+			known[item.Path()] = true
+			for _, field := range item.Fields {
+				size += len(field.JSON)
+			}
+		}
+		if size > itemsRoom || parts > 100 {
+			t.Fatalf("part %d has %d bytes", parts, size)
+		}
+		seen.Rev, seen.ItemAt = news.Rev, news.ItemAt
+	}
+	if len(known) != 1001 || seen.Rev != 5 {
+		t.Fatalf("%d items told, up to %d", len(known), seen.Rev)
 	}
 }
--- a/internal/parley/caller.go
+++ b/internal/parley/caller.go
@@ -19,6 +19,10 @@
 // Class marks failures of inner calls.
 var Class = errs.Class("parley")
 
+// patientCall is how long a call must have waited in vain for its stream to be
+// given up.
+const patientCall = 500 * time.Millisecond
+
 // Unsent marks calls that never left this daemon.
 var Unsent = errs.Class("unsent")
 
@@ -124,7 +128,9 @@
 		}
 		return Class.Wrap(call.Error)
 	case <-timer.C:
-		if time.Duration(c.heard.Load()) < begun {
+		// A short wait proves nothing: the other end or the way there may only
+		// be slow, and a stream that is gone is noticed by itself.
+		if limit >= patientCall && time.Duration(c.heard.Load()) < begun {
 			c.drop(client)
 		}
 		return ErrTimeout
--- a/internal/parley/words.go
+++ b/internal/parley/words.go
@@ -143,18 +143,43 @@
 // Core is an accord daemon as fellows know it.
 type Core struct{ Inner, Control string }
 
+// Seen is how far a fellow is with what the leader tells.
+type Seen struct {
+	Term  Term
+	Epoch Epoch
+	// Rev and ItemAt are the place of the last item taken: items come in the
+	// order of their places in the log and then of their paths, in parts. ItemAt
+	// is AllItems where nothing of that place is left out.
+	Rev    uint64
+	ItemAt string
+	// Listed tells that the fellow has this leader's list of backends whole;
+	// until then ListAt is the last one it was told.
+	Listed bool
+	ListAt ServerID
+}
+
+// AllItems stands behind every path.
+const AllItems = "\xff"
+
 // BeatAsk is a fellow's beat: who it is, what it has seen, what it wants.
 type BeatAsk struct {
 	Fellow
-	Term  Term
-	Epoch Epoch
-	Rev   uint64
-	// Listed tells that the fellow has this leader's list of backends.
-	Listed  bool
+	Seen
 	Hold    time.Duration
 	Demands []Demand
 }
 
+// ListPart is a part of the whole list of backends with their states, in the
+// order of their ids. A whole list at once would fill a small link for longer
+// than a beat may take, and never arrive.
+type ListPart struct {
+	Servers []Server
+	States  []State
+	// At is the last id told; Done tells that nothing is behind it.
+	At   ServerID
+	Done bool
+}
+
 // Demand is how many requests a second of a tenant a fellow sees, and the
 // floor it holds.
 type Demand struct {
@@ -172,16 +197,29 @@
 	Epoch       Epoch
 	Full        bool
 	Rev         uint64
+	ItemAt      string
 	Items       []canon.Item
 	Evacuations []Evacuation
-	Listed      bool
-	ListFull    bool
-	Servers     []ServerChange
-	Fellows     []FellowChange
-	States      []State
-	Map         *ShardMap
-	Absent      []FellowID
-	Leases      []Lease
+	// Part is a part of the whole list, for a fellow that lacks it; Servers and
+	// States are what changed since.
+	Part    *ListPart
+	Servers []ServerChange
+	Fellows []FellowChange
+	States  []State
+	Map     *ShardMap
+	Absent  []FellowID
+	Leases  []Lease
+}
+
+// LeadAsk asks a core who leads; LeadReply is small, so that it gets through
+// where news would not.
+type LeadAsk struct{}
+
+// LeadReply names the leader as the core knows it.
+type LeadReply struct {
+	Leader bool
+	Term   Term
+	Cores  []Core
 }
 
 // ClaimAsk puts a batch of claims or gives claims back.
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -4,6 +4,7 @@
 package passage
 
 import (
+	"math/rand"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +17,9 @@
 )
 
 const (
-	beatHold    = 600 * time.Millisecond
-	beatPatient = 300 * time.Millisecond
+	beatHold    = 500 * time.Millisecond
+	beatPatient = 600 * time.Millisecond
+	newsPatient = 2 * time.Second
 	claimCall   = 260 * time.Millisecond
 	scoutCall   = 200 * time.Millisecond
 	scoutPause  = 40 * time.Millisecond
@@ -99,7 +101,7 @@
 // Stir sends a beat at once, for news of one's own.
 func (l *Link) Stir() {
 	if inner := *l.leader.Load(); inner != "" {
-		_, _ = l.beat(inner, 0, 300*time.Millisecond)
+		_, _ = l.beat(inner, 0, beatPatient)
 	}
 }
 
@@ -133,8 +135,7 @@
 // beat asks one core for news and takes them if it leads.
 func (l *Link) beat(target string, hold, limit time.Duration) (news *parley.News, err error) {
 	asked := l.clock.Now()
-	term, epoch, rev := l.world.Seen()
-	ask := parley.BeatAsk{Fellow: l.self(), Term: term, Epoch: epoch, Rev: rev, Listed: l.world.HasList(), Hold: hold}
+	ask := parley.BeatAsk{Fellow: l.self(), Seen: l.world.Seen(), Hold: hold}
 	tenants := l.world.Scene().View.Tenants()
 	if l.Limits != nil {
 		ask.Demands = l.Limits.Demands(tenants)
@@ -147,7 +148,7 @@
 		l.world.Learn(news.Cores)
 		return news, nil
 	}
-	if current, _, _ := l.world.Seen(); news.Term < current {
+	if news.Term < l.world.Seen().Term {
 		news.Leader = false
 		return news, nil
 	}
@@ -182,11 +183,13 @@
 	}
 }
 
-// seek asks all cores but one at once, until one leads in a later term than
-// given or they have all answered or are overdue.
+// seek asks all cores but one at once who leads, until one leads in a later
+// term than given or they have all answered or are overdue. The question is a
+// small one: the news that a new leader owes may take a small link longer than
+// a core that is gone may be waited for.
 func (l *Link) seek(but string, after parley.Term) (found bool) {
 	var asked sync.WaitGroup
-	var leads atomic.Bool
+	var leads atomic.Pointer[string]
 	for _, inner := range l.candidates() {
 		if inner == but {
 			continue
@@ -194,16 +197,23 @@
 		asked.Add(1)
 		go func() {
 			defer asked.Done()
-			if news, err := l.beat(inner, 0, scoutCall); err == nil && news.Leader && news.Term > after {
-				leads.Store(true)
+			var reply parley.LeadReply
+			if err := l.caller(inner).Call("Forum.Lead", parley.LeadAsk{}, &reply, scoutCall); err != nil {
+				return
+			}
+			l.world.Learn(reply.Cores)
+			if reply.Leader && reply.Term > after && reply.Term >= l.world.Seen().Term {
+				leads.Store(&inner)
 			}
 		}()
 	}
 	asked.Wait()
-	if !leads.Load() {
-		time.Sleep(scoutPause)
+	if inner := leads.Load(); inner != nil {
+		news, err := l.beat(*inner, 0, newsPatient)
+		return err == nil && news.Leader
 	}
-	return leads.Load()
+	time.Sleep(scoutPause + time.Duration(rand.Int63n(int64(scoutPause))))
+	return false
 }
 
 // scout looks for a new leader beside the beat, which may be held open by one
@@ -215,7 +225,7 @@
 	defer l.scouts.Store(false)
 	old := *l.leader.Load()
 	begun := l.clock.Now()
-	term, _, _ := l.world.Seen()
+	term := l.world.Seen().Term
 	for l.clock.Now()-begun < scoutSpan && time.Duration(l.heard.Load()) <= begun {
 		if l.seek(old, term) {
 			l.caller(old).Close()
--- a/internal/passage/passage_test.go
+++ b/internal/passage/passage_test.go
@@ -418,10 +418,10 @@
 	d := daemonOf(t, backend)
 	server := d.world.servers["i-1"].Server
 	server.Draining = true
-	d.world.Take(0, &parley.News{Leader: true, Term: 3, Epoch: 9, Listed: true, Servers: []parley.ServerChange{{Server: server}}})
+	d.world.Take(0, &parley.News{Leader: true, Term: 3, Epoch: 9, Servers: []parley.ServerChange{{Server: server}}})
 	server.Draining = false
 	for _, old := range []parley.News{{Term: 3, Epoch: 8}, {Term: 2, Epoch: 50, Full: true}} {
-		old.Leader, old.Listed, old.Servers = true, true, []parley.ServerChange{{Server: server}}
+		old.Leader, old.Servers = true, []parley.ServerChange{{Server: server}}
 		d.world.Take(0, &old)
 		if !d.world.servers["i-1"].Draining {
 			t.Fatalf("news of term %d, epoch %d undid a later one", old.Term, old.Epoch)
--- a/internal/passage/probe.go
+++ b/internal/passage/probe.go
@@ -245,7 +245,7 @@
 // report tells the cache that a round was made; the first to a leader is full.
 func (p *Prober) report(service parley.ServiceName, servers []*Server, term parley.Term, count parley.Epoch) {
 	d := p.daemon
-	leader, _, _ := d.world.Seen()
+	leader := d.world.Seen().Term
 	ask := parley.ReportAsk{Fellow: parley.FellowID(d.props.Name), Term: term, Count: count, Service: service}
 	p.mu.Lock()
 	ask.Full = p.told[service] != leader
--- a/internal/passage/standin_test.go
+++ b/internal/passage/standin_test.go
@@ -127,9 +127,9 @@
 	if err := config.Apply([]byte(call), 1); err != nil {
 		t.Fatal(err)
 	}
-	news := &parley.News{Leader: true, Term: 1, Epoch: 1, Full: true, Rev: 1, Items: config.Items(), Listed: true, ListFull: true}
+	news := &parley.News{Leader: true, Term: 1, Epoch: 1, Full: true, Rev: 1, ItemAt: parley.AllItems, Items: config.Items(), Part: &parley.ListPart{Done: true}}
 	for _, backend := range backends {
-		news.Servers = append(news.Servers, parley.ServerChange{Server: parley.Server{ID: parley.ServerID(backend.id), Service: "s", Address: backend.listener.Addr().String(), Site: "here", Slots: 4}})
+		news.Part.Servers = append(news.Part.Servers, parley.Server{ID: parley.ServerID(backend.id), Service: "s", Address: backend.listener.Addr().String(), Site: "here", Slots: 4})
 	}
 	d.world.Take(0, news)
 	return d
--- a/internal/passage/status.go
+++ b/internal/passage/status.go
@@ -29,10 +29,10 @@
 // Tell gives the account.
 func (s *Status) Tell(_ parley.StatusAsk, reply *parley.StatusReply) (err error) {
 	d := s.daemon
-	term, epoch, rev := d.world.Seen()
+	seen := d.world.Seen()
 	account := Account{
 		Role: "passage", Name: d.props.Name, Ready: d.isReady(), Led: d.link.Led(), Leader: *d.link.leader.Load(),
-		Term: uint64(term), Epoch: uint64(epoch), Rev: rev, Fellows: len(d.world.Scene().Fellows), AtWork: d.door.AtWork(),
+		Term: uint64(seen.Term), Epoch: uint64(seen.Epoch), Rev: seen.Rev, Fellows: len(d.world.Scene().Fellows), AtWork: d.door.AtWork(),
 	}
 	for _, service := range d.world.Duties() {
 		account.Probes = append(account.Probes, string(service))
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -19,6 +19,9 @@
 	"tinpin/internal/vigil"
 )
 
+// loggedItems is how many items of one telling are logged each.
+const loggedItems = 64
+
 // Scene is one state of the world, read-only but for the servers' own marks.
 type Scene struct {
 	View     *canon.View
@@ -46,16 +49,15 @@
 
 	mu       sync.Mutex
 	canon    *canon.Canon
-	rev      uint64
-	term     parley.Term
-	epoch    parley.Epoch
+	seen     parley.Seen
+	whole    bool
+	named    map[parley.ServerID]bool
 	servers  map[parley.ServerID]*Server
 	evac     map[parley.SiteName]parley.Evacuation
 	fellows  map[parley.FellowID]parley.Fellow
 	cores    map[string]bool
 	watch    *vigil.Watch
 	listed   bool
-	listTerm parley.Term
 	viewed   *canon.View
 	shares   *allot.Shares
 	scene    atomic.Pointer[Scene]
@@ -86,18 +88,11 @@
 	return w.shares.Amount(w.clock.Now(), allot.Key{Kind: kind, Name: key})
 }
 
-// HasList tells that the leader's list was taken.
-func (w *World) HasList() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.listed && w.listTerm == w.term && w.term > 0
-}
-
 // Seen is what a beat names.
-func (w *World) Seen() (term parley.Term, epoch parley.Epoch, rev uint64) {
+func (w *World) Seen() (seen parley.Seen) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.term, w.epoch, w.rev
+	return w.seen
 }
 
 // Take takes the news that was asked for at a time.
@@ -111,22 +106,26 @@
 	defer w.mu.Unlock()
 	now := w.clock.Now()
 	// What an older leader, or the same one earlier, told is overtaken.
-	if news.Term < w.term || news.Term == w.term && news.Epoch < w.epoch {
+	if news.Term < w.seen.Term || news.Term == w.seen.Term && news.Epoch < w.seen.Epoch {
 		return
 	}
-	changed := news.Full || len(news.Servers) > 0 || len(news.Fellows) > 0 || len(news.Items) > 0 || len(news.Evacuations) > 0
+	first := w.seen.Rev == 0
+	if news.Term != w.seen.Term {
+		w.seen.Listed, w.seen.ListAt, w.named = false, "", map[parley.ServerID]bool{}
+	}
+	changed := news.Full || news.Part != nil || len(news.Servers) > 0 || len(news.Fellows) > 0 || len(news.Items) > 0 || len(news.Evacuations) > 0
 	for _, core := range news.Cores {
 		w.cores[core.Inner] = true
 	}
 	if news.Full {
 		w.fellows = map[parley.FellowID]parley.Fellow{}
 	}
-	w.term, w.epoch = news.Term, news.Epoch
+	w.seen.Term, w.seen.Epoch = news.Term, news.Epoch
 	back := map[parley.SiteName]bool{}
 	for _, evacuation := range news.Evacuations {
 		if old := w.evac[evacuation.Site]; old.Rev < evacuation.Rev {
 			w.evac[evacuation.Site] = evacuation
-			w.Chronicle.Note(chronicle.Evacuation, string(evacuation.Site), "applied", evacuation.Stamp(), evacuation.Rev, w.rev == 0)
+			w.Chronicle.Note(chronicle.Evacuation, string(evacuation.Site), "applied", evacuation.Stamp(), evacuation.Rev, first)
 			back[evacuation.Site] = old.Active && !evacuation.Active
 		}
 	}
@@ -136,9 +135,11 @@
 		}
 	}
 	for _, item := range news.Items {
-		w.Chronicle.Note(chronicle.Item, item.Path(), "applied", item.Stamp(), item.Rev, w.rev == 0)
+		w.Chronicle.Note(chronicle.Item, item.Path(), "applied", item.Stamp(), item.Rev, first || len(news.Items) > loggedItems)
+	}
+	if news.Rev > w.seen.Rev || news.Rev == w.seen.Rev && news.ItemAt > w.seen.ItemAt {
+		w.seen.Rev, w.seen.ItemAt = news.Rev, news.ItemAt
 	}
-	w.rev = max(w.rev, news.Rev)
 	if len(news.Items) > 0 {
 		w.viewed = w.canon.View()
 		names := make([]parley.ServiceName, 0, len(w.viewed.Services))
@@ -148,14 +149,10 @@
 		w.watch.Services(names)
 		w.watch.Settle(now)
 	}
-	if news.Listed {
-		w.list(now, news.Servers, news.ListFull)
-		w.listTerm = news.Term
-		if !w.listed {
-			changed = true
-		}
-		w.listed = true
+	if news.Part != nil && !w.seen.Listed {
+		w.part(now, news.Part)
 	}
+	w.list(now, news.Servers, false)
 	for site, returned := range back {
 		if !returned {
 			continue
@@ -210,12 +207,35 @@
 	return habit
 }
 
-// list takes changes of the list; a full telling drops what it does not name.
-func (w *World) list(now time.Duration, changes []parley.ServerChange, full bool) {
-	named := map[parley.ServerID]bool{}
+// part takes a part of the whole list; the last one drops what none named.
+func (w *World) part(now time.Duration, part *parley.ListPart) {
+	changes := make([]parley.ServerChange, len(part.Servers))
+	for i, server := range part.Servers {
+		changes[i].Server = server
+	}
+	w.list(now, changes, true)
+	for i := range part.States {
+		if server := w.servers[part.States[i].Server]; server != nil {
+			server.note(now, nil, &part.States[i])
+		}
+	}
+	w.seen.ListAt = max(w.seen.ListAt, part.At)
+	if !part.Done {
+		return
+	}
+	for id, server := range w.servers {
+		if !w.named[id] {
+			server.sweep(now, true)
+			delete(w.servers, id)
+		}
+	}
+	w.seen.Listed, w.listed, w.named = true, true, nil
+}
+
+// list takes changes of the list; those of a whole telling are not logged.
+func (w *World) list(now time.Duration, changes []parley.ServerChange, quiet bool) {
 	for i := range changes {
 		change := &changes[i]
-		named[change.ID] = true
 		server := w.servers[change.ID]
 		if change.Gone {
 			if server != nil {
@@ -225,6 +245,9 @@
 			}
 			continue
 		}
+		if w.named != nil {
+			w.named[change.ID] = true
+		}
 		if server == nil {
 			server = newServer(change.Server, parley.RegionName(w.props.Regions[string(change.Site)]), w.habit(change.Service))
 			if change.Cold > 0 {
@@ -234,19 +257,10 @@
 		}
 		if stamp := change.Stamp(); server.told != stamp {
 			server.told = stamp
-			w.Chronicle.Note(chronicle.Backend, string(change.ID), "applied", stamp, 0, full)
+			w.Chronicle.Note(chronicle.Backend, string(change.ID), "applied", stamp, 0, quiet)
 		}
 		server.note(now, &change.Server, nil)
 	}
-	if !full {
-		return
-	}
-	for id, server := range w.servers {
-		if !named[id] {
-			server.sweep(now, true)
-			delete(w.servers, id)
-		}
-	}
 }
 
 // TakeList takes a walk that this daemon made itself for want of a leader.
@@ -265,7 +279,7 @@
 
 // refresh builds the scene anew.
 func (w *World) refresh() {
-	scene := &Scene{View: w.viewed, Services: map[parley.ServiceName][]*Server{}, Near: map[parley.ServiceName][]*Server{}, Beyond: map[parley.ServiceName][]*Server{}, Evacuate: map[parley.SiteName]bool{}, Fellows: map[parley.FellowID]parley.Fellow{}, Listed: w.listed, Rev: w.rev}
+	scene := &Scene{View: w.viewed, Services: map[parley.ServiceName][]*Server{}, Near: map[parley.ServiceName][]*Server{}, Beyond: map[parley.ServiceName][]*Server{}, Evacuate: map[parley.SiteName]bool{}, Fellows: map[parley.FellowID]parley.Fellow{}, Listed: w.listed, Rev: w.seen.Rev}
 	for _, server := range w.servers {
 		scene.Services[server.Service] = append(scene.Services[server.Service], server)
 	}
@@ -294,7 +308,9 @@
 			}
 		}
 	}
-	scene.Started = !w.canon.Empty()
+	// Until all items are here, a way that is missing proves nothing.
+	w.whole = w.whole || w.seen.ItemAt == parley.AllItems && !w.canon.Empty()
+	scene.Started = w.whole
 	w.scene.Store(scene)
 }
 
