--- a/internal/forum/forum_test.go
+++ b/internal/forum/forum_test.go
@@ -53,6 +53,7 @@
 	for i := range 3*partRows - 2 {
 		walk = append(walk, server(fmt.Sprintf("c-%03d", i)))
 	}
+	f.merge(walk, false)
 	f.merge(walk, true)
 	known := map[parley.ServerID]bool{}
 	ask.Term, ask.Epoch = first.Term, first.Epoch
--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -59,6 +59,7 @@
 		return nil, problem.TooLate, 0
 	}
 	plan = &Plan{Way: way, Service: target(way), Request: request, Started: now, Till: now + left, Rounds: way.Rounds}
+	request.Stream = way.Repeat == canon.Download
 	if way.Repeat == canon.Keyed {
 		for _, line := range request.Lines {
 			if line[0] == headKey {
--- a/internal/passage/choose.go
+++ b/internal/passage/choose.go
@@ -20,7 +20,7 @@
 	handicapDoubt  = 500
 	handicapBeyond = 40
 	usualPace      = 120
-	// goodCost is how many usual times an answer may be expected to take before
+	// goodCost is how many calm times an answer may be expected to take before
 	// others than a daemon's own few are looked at.
 	goodCost = 1.6
 	// largeBorder makes borders dearer for large answers.
@@ -64,7 +64,7 @@
 	wanted  Wanted
 	now     time.Duration
 	streams int
-	usual   float64
+	calm    float64
 	border  float64
 
 	best, out         *Server
@@ -75,7 +75,7 @@
 // choose names the backend, or tells whether there is any at all. The daemon's
 // own few are looked at first, the rest only where those have nothing good.
 func (w *World) choose(scene *Scene, wanted Wanted) (chosenServer *Server, any bool) {
-	c := &chooser{world: w, scene: scene, wanted: wanted, now: w.clock.Now(), usual: usualPace, border: 1}
+	c := &chooser{world: w, scene: scene, wanted: wanted, now: w.clock.Now(), calm: usualPace, border: 1}
 	if service := scene.View.Services[string(wanted.Service)]; service != nil {
 		c.streams = service.Streams
 	}
@@ -84,14 +84,14 @@
 	}
 	near, beyond := scene.Near[wanted.Service], scene.Beyond[wanted.Service]
 	if len(near) > 0 {
-		c.usual = near[0].habit.Usual(usualPace)
+		c.calm = near[0].habit.Calm(usualPace)
 	} else if len(beyond) > 0 {
-		c.usual = beyond[0].habit.Usual(usualPace)
+		c.calm = beyond[0].habit.Calm(usualPace)
 	}
 	for _, server := range near {
 		c.weigh(server, true)
 	}
-	if c.best == nil || c.bestCost > goodCost*c.usual {
+	if c.best == nil || c.bestCost > goodCost*c.calm {
 		for _, server := range beyond {
 			c.weigh(server, false)
 		}
@@ -126,9 +126,9 @@
 	cold := now < server.coldTill
 	pace := server.pace
 	if server.paceAt == 0 {
-		pace = c.usual
+		pace = c.calm
 	} else if age := now - server.paceAt; age > 5*time.Second {
-		pace = min(pace, c.usual)
+		pace = min(pace, c.calm)
 	}
 	jobs, told := server.jobs(now, share)
 	queue := jobs / float64(slots)
--- a/internal/passage/habit.go
+++ b/internal/passage/habit.go
@@ -1,5 +1,5 @@
 // Habit is what a daemon knows of a service as a whole: how long its answers
-// usually take, and how long a stream to it may rest before its backends have
+// take when it is calm, and how long a stream to it may rest before its backends have
 // been seen to forget it. A backend that forgets says nothing; whatever goes
 // out next on the stream is reset. So streams are retired before that age, and
 // the age is tried longer again once nothing was forgotten for a while.
@@ -18,37 +18,51 @@
 	restPart   = 0.6
 	restSpan   = 6 * time.Second
 	habitShare = 0.05
+	// calmGrows is the part by which the calm time may grow in a second.
+	calmGrows  = 0.02
+	habitFirst = 20
 )
 
 // Habit of one service.
 type Habit struct {
-	mu    sync.Mutex
-	usual float64
-	rest  time.Duration
-	till  time.Duration
+	mu     sync.Mutex
+	usual  float64
+	calm   float64
+	seen   int
+	calmAt time.Duration
+	rest   time.Duration
+	till   time.Duration
 }
 
 // Took learns from one whole answer.
-func (h *Habit) Took(took time.Duration) {
+func (h *Habit) Took(now, took time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	spent := float64(took) / float64(time.Millisecond)
 	if h.usual == 0 {
-		h.usual = spent
+		h.usual, h.calm, h.calmAt = spent, spent, now
+		return
+	}
+	if h.seen++; h.seen < habitFirst {
+		h.usual += (spent - h.usual) / float64(h.seen+1)
+		h.calm, h.calmAt = h.usual, now
 		return
 	}
 	h.usual += (spent - h.usual) * habitShare
+	h.calm = min(h.usual, h.calm*(1+calmGrows*(now-h.calmAt).Seconds()))
+	h.calmAt = now
 }
 
-// Usual is how many milliseconds an answer takes, where nothing is known yet
-// the given.
-func (h *Habit) Usual(unknown float64) (usual float64) {
+// Calm is how many milliseconds an answer took on average while the service
+// was least pressed lately, where nothing is known yet the given. It is what
+// may be expected of a backend that was not asked for a while.
+func (h *Habit) Calm(unknown float64) (calm float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.usual == 0 {
+	if h.seen < habitFirst {
 		return unknown
 	}
-	return h.usual
+	return h.calm
 }
 
 // Forgot learns that a stream that had rested so long was forgotten.
--- a/internal/passage/probe.go
+++ b/internal/passage/probe.go
@@ -296,7 +296,7 @@
 			}
 			return FoundGarbled, 0
 		}
-		_, whole, _ := readBody(response)
+		_, whole, _ := readBody(response, wholeMost)
 		if !whole {
 			server.drop(stream)
 			return FoundGarbled, 0
--- a/internal/passage/round.go
+++ b/internal/passage/round.go
@@ -37,8 +37,9 @@
 )
 
 const (
-	wholeMost = 256 << 10
-	skipMost  = 4
+	wholeMost  = 256 << 10
+	streamMost = 16 << 10
+	skipMost   = 4
 )
 
 // lineReader is the buffered reading side of a stream.
@@ -74,6 +75,8 @@
 	Lines                []Line
 	Body                 []byte
 	HasBody              bool
+	// Stream passes the answer on as it comes but for its beginning.
+	Stream bool
 	// head is the part of the head that is the same in every round; rounds may
 	// run beside each other.
 	once sync.Once
@@ -126,6 +129,15 @@
 	r.head = head
 }
 
+// most is how much of an answer is taken in before it is passed on: one that
+// is here whole can still be replaced by another backend's.
+func (r *Request) most() (most int64) {
+	if r.Stream {
+		return streamMost
+	}
+	return wholeMost
+}
+
 // bytes writes the request for one backend.
 func (r *Request) bytes(left time.Duration, target parley.ServerID) (data []byte) {
 	r.once.Do(r.prepare)
@@ -211,7 +223,7 @@
 			}
 			continue
 		}
-		body, whole, rest := readBody(response)
+		body, whole, rest := readBody(response, request.most())
 		if !whole && rest == nil {
 			server.drop(stream)
 			if response.Header.Get(headNotRun) != "" && response.Header.Get(headRequest) == request.ID {
@@ -284,14 +296,14 @@
 // readBody reads a body whole where it is small; of a large one it gives the
 // beginning and the rest to read. A body that only the end of the stream ends
 // cannot be told from one cut short and is not taken.
-func readBody(response *http.Response) (body []byte, whole bool, rest io.Reader) {
+func readBody(response *http.Response, most int64) (body []byte, whole bool, rest io.Reader) {
 	if response.Body == http.NoBody || response.ContentLength == 0 {
 		return nil, true, nil
 	}
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return nil, false, nil
 	}
-	if response.ContentLength > wholeMost {
+	if response.ContentLength > most {
 		return nil, false, response.Body
 	}
 	if response.ContentLength > 0 {
@@ -299,11 +311,11 @@
 		_, err := io.ReadFull(response.Body, body)
 		return body, err == nil, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, wholeMost+1))
+	body, err := io.ReadAll(io.LimitReader(response.Body, most+1))
 	if err != nil {
 		return nil, false, nil
 	}
-	if len(body) > wholeMost {
+	if int64(len(body)) > most {
 		return body, false, response.Body
 	}
 	return body, true, nil
--- a/internal/passage/server.go
+++ b/internal/passage/server.go
@@ -197,7 +197,7 @@
 	case Whole:
 		s.outSpan = 0
 		s.learn(now, float64(took)/float64(time.Millisecond))
-		s.habit.Took(took)
+		s.habit.Took(now, took)
 	case Forgotten:
 	case NotSent, Broken:
 		s.out(now)
