Find grey backends from the outcomes of all daemons, and let them back by trickle

Cause: one daemon sends a backend two requests a second and cannot tell a failing one from bad luck; probes find it well. Daemons tell counts of backends that failed with their beats, nothing while none fails; the leader hands them to the service's owner, which judges against the service's norm, sets aside a third at most, for one asking site or all, and reports through the state cache. A repeatable request is tried elsewhere after a backend's own 5xx, under the retry budget.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -37,6 +37,7 @@
 	HealthChanged
 	ChangeSeen
 	EventsDropped
+	AsideChanged
 )
 
 // Texts is the catalogue.
@@ -62,6 +63,7 @@
 	HealthChanged:   "health of a backend changed",
 	ChangeSeen:      "change seen on this daemon",
 	EventsDropped:   "events not delivered to their receiver",
+	AsideChanged:    "backend set aside or let back",
 }
 
 // Log writes numbered events.
--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -34,6 +34,8 @@
 	// What a small link gets at once of the list and of the items.
 	partRows  = 64
 	itemsRoom = 24 << 10
+	// tallyRows is how many rows of outcomes one beat may bring.
+	tallyRows = 256
 )
 
 // Forum is open while this core leads.
@@ -67,6 +69,8 @@
 	moved   bool
 	near    map[parley.SiteName][]parley.FellowID
 	cold    []parley.ServerID
+	owners  map[parley.ServiceName]parley.FellowID
+	tallies map[parley.FellowID][]parley.Tally
 
 	chronicle *chronicle.Chronicle
 }
@@ -79,7 +83,7 @@
 		props: p, log: log, node: node, term: parley.Term(term), birth: time.Now(),
 		clock: clock, roll: census.NewRoll(clock, census.RollBounds{Absent: vigil.StandIn, Struck: struckAfter}),
 		list: census.NewList(clock), cache: vigil.NewCache(clock, 3*p.ProbeInterval+time.Second),
-		book: allot.NewBook(0, leaseSpan), near: map[parley.SiteName][]parley.FellowID{}, view: canon.New().View(), sites: map[parley.SiteName]bool{},
+		book: allot.NewBook(0, leaseSpan), near: map[parley.SiteName][]parley.FellowID{}, owners: map[parley.ServiceName]parley.FellowID{}, tallies: map[parley.FellowID][]parley.Tally{}, view: canon.New().View(), sites: map[parley.SiteName]bool{},
 		changed: make(chan struct{}), stop: make(chan struct{}), chronicle: node.Chronicle,
 	}
 	first := term == 1
@@ -200,6 +204,7 @@
 	if !same {
 		f.absent, f.absAt = absent, f.clock.Next()
 	}
+	f.owners = map[parley.ServiceName]parley.FellowID{}
 }
 
 // walk is the duty that reads the platform's list.
@@ -279,6 +284,7 @@
 	// Who came or changed is told with the next turn of tend: after a change of
 	// leader all come at once, and each would wake all the others.
 	f.moved = f.moved || changed || joined
+	f.relay(ask)
 	for !f.due(ask) {
 		changed := f.changed
 		f.mu.Unlock()
@@ -308,6 +314,36 @@
 	f.mu.Unlock()
 }
 
+// relay keeps what a fellow told of its outcomes for those that own the
+// services, who get it with their next beats.
+func (f *Forum) relay(ask parley.BeatAsk) {
+	for _, tally := range ask.Tallies[:min(len(ask.Tallies), tallyRows)] {
+		if f.view.Services[string(tally.Service)] == nil {
+			continue
+		}
+		if tally.Server != "" {
+			if server, listed := f.list.Servers.Get(tally.Server); !listed || server.Service != tally.Service {
+				continue
+			}
+		}
+		tally.Site = ask.Site
+		owner := f.owner(tally.Service)
+		if kept := f.tallies[owner]; len(kept) < 16*tallyRows {
+			f.tallies[owner] = append(kept, tally)
+		}
+	}
+}
+
+// owner names who watches a service; it is reckoned once a change of the roll.
+func (f *Forum) owner(service parley.ServiceName) (owner parley.FellowID) {
+	owner, known := f.owners[service]
+	if !known {
+		owner = f.cache.Owner(service, f.absent)
+		f.owners[service] = owner
+	}
+	return owner
+}
+
 // due tells whether there is something to tell.
 func (f *Forum) due(ask parley.BeatAsk) bool {
 	if ask.Term != f.term {
@@ -395,6 +431,8 @@
 		news.Map = &shards
 	}
 	news.Absent = f.absent
+	news.Tallies = f.tallies[ask.ID]
+	delete(f.tallies, ask.ID)
 	news.Leases = f.lend(now, ask)
 }
 
--- a/internal/parley/words.go
+++ b/internal/parley/words.go
@@ -85,7 +85,22 @@
 	Server ServerID
 	Health Health
 	Cold   time.Duration
-	Gone   bool
+	// Aside is the asking site for which the backend is set aside, or
+	// AsideForAll, or empty.
+	Aside string
+	Gone  bool
+}
+
+// AsideForAll stands for every asking site.
+const AsideForAll = "*"
+
+// Tally is what became of a daemon's requests at a backend since it last told,
+// or, without a backend, at the whole service. Site is where it asked from.
+type Tally struct {
+	Server    ServerID
+	Service   ServiceName
+	Site      SiteName
+	Good, Bad uint32
 }
 
 // Stamp tells the state in words.
@@ -94,6 +109,9 @@
 	if s.Cold > 0 {
 		stamp += " cold"
 	}
+	if s.Aside != "" {
+		stamp += " aside"
+	}
 	return stamp
 }
 
@@ -167,6 +185,7 @@
 	Seen
 	Hold    time.Duration
 	Demands []Demand
+	Tallies []Tally
 }
 
 // ListPart is a part of the whole list of backends with their states, in the
@@ -209,6 +228,8 @@
 	Map     *ShardMap
 	Absent  []FellowID
 	Leases  []Lease
+	// Tallies are the outcomes that others told of what this fellow owns.
+	Tallies []Tally
 }
 
 // LeadAsk asks a core who leads; LeadReply is small, so that it gets through
--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -112,8 +112,17 @@
 	return d.clock.Now()+roomPause < min(plan.Started+plan.Way.Aim/5, plan.Till)
 }
 
-// rounds sends a plan's request until there is an answer or a problem.
+// rounds sends a plan's request until there is an answer or a problem. Where a
+// backend told of its own failure and no other gave an answer, its word is it.
 func (d *Daemon) rounds(plan *Plan, throttle *Throttle) (verdict Verdict, kind problem.Kind) {
+	verdict, kind = d.search(plan, throttle)
+	if kind != problem.None && plan.Failure != nil {
+		return *plan.Failure, problem.None
+	}
+	return verdict, kind
+}
+
+func (d *Daemon) search(plan *Plan, throttle *Throttle) (verdict Verdict, kind problem.Kind) {
 	arrived := 0
 	for {
 		now := d.clock.Now()
@@ -140,6 +149,12 @@
 			throttle.Learn(d.clock.Now()-now, plan.Way.Aim)
 		}
 		step, problemKind := plan.Learn(d.clock.Now(), answering.ID, round)
+		if round.Outcome == Failed {
+			if round.Verdict.Rest != nil {
+				return round.Verdict, problem.None
+			}
+			plan.Failure = &round.Verdict
+		}
 		switch step {
 		case GiveAnswer:
 			return round.Verdict, problem.None
@@ -162,7 +177,7 @@
 func (d *Daemon) round(plan *Plan, server *Server, arrived *int) (round Round, answering *Server) {
 	wait := time.Duration(float64(plan.Way.Aim) * hedgePart)
 	if !plan.Way.Repeat.Repeatable() || plan.Rounds < 2 || wait <= 0 {
-		round = run(d.clock, server, plan.Request, plan.Till, d.rest(plan))
+		round = run(d.clock, server, plan.Request, plan.Till, d.rest(plan), plan.Way.Aim)
 		if round.Sent {
 			*arrived++
 		}
@@ -170,7 +185,9 @@
 	}
 	ends := make(chan finished, 2)
 	start := func(with *Server) {
-		go func() { ends <- finished{run(d.clock, with, plan.Request, plan.Till, d.rest(plan)), with} }()
+		go func() {
+			ends <- finished{run(d.clock, with, plan.Request, plan.Till, d.rest(plan), plan.Way.Aim), with}
+		}()
 	}
 	sentAt := d.clock.Now()
 	start(server)
--- a/internal/passage/choose.go
+++ b/internal/passage/choose.go
@@ -25,6 +25,12 @@
 	goodCost = 1.6
 	// largeBorder makes borders dearer for large answers.
 	largeBorder = 3
+	// badWeight is how much what failed here lately weighs.
+	badWeight = 6
+	// trialPart of the requests that may be repeated try a backend that is set
+	// aside, each at most once in trialPause.
+	trialPart  = 0.1
+	trialPause = time.Second
 )
 
 // Wanted says what a backend is wanted for.
@@ -32,6 +38,8 @@
 	Service parley.ServiceName
 	Homes   []string
 	Tried   []parley.ServerID
+	// Repeatable tells that the request may run twice.
+	Repeatable bool
 	// Large tells that the answer may be a large one.
 	Large bool
 }
@@ -70,6 +78,7 @@
 	best, out         *Server
 	bestCost, outCost float64
 	any               bool
+	trial             *Server
 }
 
 // choose names the backend, or tells whether there is any at all. The daemon's
@@ -96,6 +105,10 @@
 			c.weigh(server, false)
 		}
 	}
+	if c.trial != nil && rand.Float64() < trialPart {
+		c.trial.try(c.now)
+		return c.trial, c.any
+	}
 	if c.best == nil {
 		c.best = c.out
 	}
@@ -139,6 +152,8 @@
 	if server.doubted(now) {
 		cost += handicapDoubt
 	}
+	cost *= 1 + badWeight*server.badness(now)
+	aside, trialDue := server.aside, now >= server.trialAt
 	out, down, burden := now < server.outTill, server.health == parley.Down, server.burden
 	allowance := 0
 	if cold {
@@ -164,7 +179,10 @@
 		cost += handicapRegion * c.border
 	}
 	cost *= 0.85 + 0.3*rand.Float64()
-	if out || down {
+	if aside && !down && !out && near && trialDue && c.wanted.Repeatable {
+		c.trial = server
+	}
+	if out || down || aside {
 		if !(down && out) && (c.out == nil || cost < c.outCost) {
 			c.out, c.outCost = server, cost
 		}
@@ -175,6 +193,13 @@
 	}
 }
 
+// try notes that a backend that is set aside gets a request.
+func (s *Server) try(now time.Duration) {
+	s.mu.Lock()
+	s.trialAt = now + trialPause
+	s.mu.Unlock()
+}
+
 // target picks a way's service by weight.
 func target(way *canon.Way) (service parley.ServiceName) {
 	if len(way.Targets) == 1 {
--- a/internal/passage/habit.go
+++ b/internal/passage/habit.go
@@ -25,13 +25,34 @@
 
 // Habit of one service.
 type Habit struct {
-	mu     sync.Mutex
-	usual  float64
-	calm   float64
-	seen   int
-	calmAt time.Duration
-	rest   time.Duration
-	till   time.Duration
+	good, bad uint32
+	mu        sync.Mutex
+	usual     float64
+	calm      float64
+	seen      int
+	calmAt    time.Duration
+	rest      time.Duration
+	till      time.Duration
+}
+
+// count notes an outcome.
+func (h *Habit) count(good bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if good {
+		h.good++
+	} else {
+		h.bad++
+	}
+}
+
+// tell gives the sums since it was last asked.
+func (h *Habit) tell() (good, bad uint32) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	good, bad = h.good, h.bad
+	h.good, h.bad = 0, 0
+	return good, bad
 }
 
 // Took learns from one whole answer.
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -140,6 +140,7 @@
 	if l.Limits != nil {
 		ask.Demands = l.Limits.Demands(tenants)
 	}
+	ask.Tallies = l.world.Tallies()
 	news = new(parley.News)
 	if err = l.caller(target).Call("Forum.Beat", ask, news, limit); err != nil {
 		return nil, err
--- a/internal/passage/plan.go
+++ b/internal/passage/plan.go
@@ -24,12 +24,14 @@
 	Tried   []parley.ServerID
 	// MayHaveRun is set once a round ended without proof that nothing ran.
 	MayHaveRun bool
-	dials      int
+	// Failure is the last answer in which a backend told of its own failure.
+	Failure *Verdict
+	dials   int
 }
 
 // wanted says what backend the next round is for.
 func (p *Plan) wanted(tried []parley.ServerID) (wanted Wanted) {
-	return Wanted{Service: p.Service, Homes: p.Way.Homes, Tried: tried, Large: p.Way.Repeat == canon.Download}
+	return Wanted{Service: p.Service, Homes: p.Way.Homes, Tried: tried, Repeatable: p.Way.Repeat.Repeatable(), Large: p.Way.Repeat == canon.Download}
 }
 
 // Step is what the plan wants next.
@@ -56,6 +58,13 @@
 			return GiveProblem, p.refusal(problem.NoBackend)
 		}
 	case Turned:
+	case Failed:
+		// The backend's own failure is its answer, unless another may be asked.
+		p.MayHaveRun = true
+		if !p.Way.Repeat.Repeatable() || p.Rounds <= 0 || now >= p.Till {
+			return GiveAnswer, problem.None
+		}
+		return TryAgain, problem.None
 	case Broken, Forgotten:
 		p.MayHaveRun = true
 		if !p.Way.Repeat.Repeatable() {
--- a/internal/passage/probe.go
+++ b/internal/passage/probe.go
@@ -88,6 +88,7 @@
 		mine[service] = true
 		backends += len(scene.Services[service])
 	}
+	p.judge(scene, duties, term, count)
 	pace := p.pace(backends, d.world.Alone(), len(scene.Fellows))
 	now := d.clock.Now()
 	room := pace.most
@@ -119,6 +120,48 @@
 	}
 }
 
+// judge brings what the sums of all daemons tell into the states.
+func (p *Prober) judge(scene *Scene, duties []parley.ServiceName, term parley.Term, count parley.Epoch) {
+	d := p.daemon
+	changed := d.world.Judge(duties)
+	if len(changed) == 0 {
+		return
+	}
+	reports := map[parley.ServiceName][]parley.State{}
+	for _, service := range duties {
+		for _, server := range scene.Services[service] {
+			aside, moved := changed[server.ID]
+			if !moved {
+				continue
+			}
+			p.mu.Lock()
+			held := p.held(server.ID)
+			held.state.Aside = aside
+			state := held.state
+			p.mu.Unlock()
+			server.note(d.clock.Now(), nil, &state)
+			d.log.Say(events.AsideChanged, "backend", string(server.ID), "aside", aside)
+			d.world.Chronicle.Note(chronicle.Health, string(server.ID), "judged", state.Stamp(), 0, true)
+			reports[service] = append(reports[service], state)
+		}
+	}
+	for service, states := range reports {
+		if d.link.Led() {
+			go d.link.Report(parley.ReportAsk{Fellow: parley.FellowID(d.props.Name), Term: term, Count: count, Service: service, States: states})
+		}
+	}
+}
+
+// held gives what was found of a backend; the caller holds the lock.
+func (p *Prober) held(id parley.ServerID) (held *watchedServer) {
+	held = p.found[id]
+	if held == nil {
+		held = &watchedServer{state: parley.State{Server: id}}
+		p.found[id] = held
+	}
+	return held
+}
+
 // Pace is how often a daemon probes: backends that are well at one interval,
 // those in doubt at another, and never more at once than most.
 type Pace struct {
@@ -198,11 +241,7 @@
 		}
 	}
 	p.mu.Lock()
-	held := p.found[server.ID]
-	if held == nil {
-		held = &watchedServer{state: parley.State{Server: server.ID}}
-		p.found[server.ID] = held
-	}
+	held := p.held(server.ID)
 	before := held.state
 	switch finding {
 	case FoundUp:
--- a/internal/passage/round.go
+++ b/internal/passage/round.go
@@ -62,6 +62,8 @@
 	Broken
 	// Silent: no answer within the time.
 	Silent
+	// Failed: a whole answer that tells of the backend's own failure. It has run.
+	Failed
 	// Forgotten: a stream that had rested was reset before any byte of an
 	// answer came. The backend had most likely forgotten it, but nothing proves
 	// that the request has not run.
@@ -161,13 +163,13 @@
 
 // run sends the request to the server and reads the answer, over a stream that
 // has rested no longer than rest.
-func run(clock Clock, server *Server, request *Request, till, rest time.Duration) (round Round) {
+func run(clock Clock, server *Server, request *Request, till, rest, aim time.Duration) (round Round) {
 	begun := clock.Now()
 	server.begin(begun)
 	defer func() {
 		if round.Verdict.Rest == nil {
 			now := clock.Now()
-			server.end(now, now-begun, round.Outcome)
+			server.end(now, now-begun, aim, round.Outcome)
 		}
 	}()
 	stream := server.take(begun, rest)
@@ -274,6 +276,10 @@
 			server.drop(stream)
 			return Round{Outcome: Broken}
 		}
+		outcome := Whole
+		if response.StatusCode >= 500 {
+			outcome = Failed
+		}
 		verdict := Verdict{Status: response.StatusCode, Lines: returned(response.Header), Body: body, Length: int64(len(body))}
 		if request.Method == http.MethodHead {
 			verdict.NoBody = true
@@ -284,12 +290,12 @@
 			verdict.Finish = func(good bool) {
 				settle(good)
 				now := clock.Now()
-				server.end(now, now-begun, Whole)
+				server.end(now, now-begun, 0, outcome)
 			}
-			return Round{Outcome: Whole, Verdict: verdict}
+			return Round{Outcome: outcome, Verdict: verdict}
 		}
 		settle(true)
-		return Round{Outcome: Whole, Verdict: verdict}
+		return Round{Outcome: outcome, Verdict: verdict}
 	}
 }
 
--- a/internal/passage/server.go
+++ b/internal/passage/server.go
@@ -5,6 +5,7 @@
 package passage
 
 import (
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -21,6 +22,9 @@
 	outMost     = 4 * time.Second
 	doubtLeast  = 150 * time.Millisecond
 	loadAge     = 1500 * time.Millisecond
+	tallySpan   = 4 * time.Second
+	badStep     = 0.35
+	badHalf     = 2 * time.Second
 )
 
 // Server is a backend and its pool.
@@ -45,6 +49,13 @@
 	closed   bool
 	habit    *Habit
 	load     toldLoad
+	asking   string
+	aside    bool
+	trialAt  time.Duration
+	bad      float64
+	badAt    time.Duration
+	tally    parley.Tally
+	badTill  time.Duration
 }
 
 // toldLoad is what a backend said it had to do, and what was sent to it since.
@@ -54,8 +65,8 @@
 	at    time.Duration
 }
 
-func newServer(listed parley.Server, region parley.RegionName, habit *Habit) (server *Server) {
-	return &Server{Server: listed, Region: region, cold: allot.NewWindow(time.Second), habit: habit}
+func newServer(listed parley.Server, region parley.RegionName, asking string, habit *Habit) (server *Server) {
+	return &Server{Server: listed, Region: region, asking: asking, cold: allot.NewWindow(time.Second), habit: habit}
 }
 
 // Stream is one connection to a backend; it carries one request at a time.
@@ -186,11 +197,20 @@
 	s.mu.Unlock()
 }
 
-func (s *Server) end(now, took time.Duration, outcome Outcome) {
+func (s *Server) end(now, took, aim time.Duration, outcome Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.burden--
-	if outcome == Whole || outcome == Turned {
+	switch outcome {
+	case Whole:
+		s.count(now, aim <= 0 || took <= aim)
+	case Failed, Broken, NotSent, Silent:
+		s.count(now, false)
+		s.bad = s.badness(now)
+		s.bad += (1 - s.bad) * badStep
+		s.badAt = now
+	}
+	if outcome == Whole || outcome == Turned || outcome == Failed {
 		s.heardAt = now
 	}
 	switch outcome {
@@ -208,6 +228,36 @@
 	}
 }
 
+// count notes an outcome for the owner's sums. The caller holds the lock.
+func (s *Server) count(now time.Duration, good bool) {
+	s.habit.count(good)
+	if good {
+		s.tally.Good++
+		return
+	}
+	s.tally.Bad++
+	s.badTill = now + tallySpan
+}
+
+// tell gives what is to be told of this backend, if it failed lately or is set
+// aside; of a backend that is well nothing is told.
+func (s *Server) tell(now time.Duration) (tally parley.Tally, told bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tally = s.tally
+	s.tally = parley.Tally{}
+	tally.Server, tally.Service = s.ID, s.Service
+	return tally, (s.aside || now < s.badTill) && tally.Good+tally.Bad > 0
+}
+
+// badness is how much failed here lately, 0 to 1. The caller holds the lock.
+func (s *Server) badness(now time.Duration) (bad float64) {
+	if s.bad == 0 {
+		return 0
+	}
+	return s.bad * math.Exp2(-float64(now-s.badAt)/float64(badHalf))
+}
+
 // doubted tells that the backend owes an answer for longer than is usual and
 // has said nothing at all meanwhile; it may have gone dark. The caller holds
 // the lock.
@@ -272,6 +322,7 @@
 	}
 	if state != nil {
 		s.health = state.Health
+		s.aside = state.Aside == parley.AsideForAll || state.Aside != "" && state.Aside == s.asking
 		s.coldTill = 0
 		if state.Cold > 0 {
 			s.coldTill = now + state.Cold
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -57,6 +57,7 @@
 	fellows  map[parley.FellowID]parley.Fellow
 	cores    map[string]bool
 	watch    *vigil.Watch
+	judge    *vigil.Judge
 	listed   bool
 	viewed   *canon.View
 	shares   *allot.Shares
@@ -70,8 +71,8 @@
 	world = &World{
 		props: p, log: log, clock: clock, Chronicle: chronicle.New(log), canon: canon.New(), servers: map[parley.ServerID]*Server{},
 		evac: map[parley.SiteName]parley.Evacuation{}, fellows: map[parley.FellowID]parley.Fellow{}, cores: map[string]bool{},
-		watch:  vigil.NewWatch(parley.FellowID(p.Name), p.SendInterval, clock.Now()),
-		shares: allot.NewShares(), habits: map[parley.ServiceName]*Habit{},
+		watch: vigil.NewWatch(parley.FellowID(p.Name), p.SendInterval, clock.Now()),
+		judge: vigil.NewJudge(), shares: allot.NewShares(), habits: map[parley.ServiceName]*Habit{},
 	}
 	world.viewed = world.canon.View()
 	world.refresh()
@@ -181,6 +182,9 @@
 	if news.Map != nil {
 		w.watch.Map(now, *news.Map)
 	}
+	for _, tally := range news.Tallies {
+		w.judge.Add(now, tally)
+	}
 	w.watch.Absent(news.Absent)
 	w.watch.Led(now, true)
 	if changed {
@@ -188,6 +192,26 @@
 	}
 }
 
+// Tallies gives what is to be told of the backends' outcomes: nothing at all
+// while none fails.
+func (w *World) Tallies() (tallies []parley.Tally) {
+	now := w.clock.Now()
+	for service, servers := range w.Scene().Services {
+		before := len(tallies)
+		for _, server := range servers {
+			if tally, told := server.tell(now); told {
+				tallies = append(tallies, tally)
+			}
+		}
+		if len(tallies) == before {
+			continue
+		}
+		good, bad := servers[0].habit.tell()
+		tallies = append(tallies, parley.Tally{Service: service, Good: good, Bad: bad})
+	}
+	return tallies
+}
+
 // Learn notes cores that were heard of.
 func (w *World) Learn(cores []parley.Core) {
 	w.mu.Lock()
@@ -249,7 +273,7 @@
 			w.named[change.ID] = true
 		}
 		if server == nil {
-			server = newServer(change.Server, parley.RegionName(w.props.Regions[string(change.Site)]), w.habit(change.Service))
+			server = newServer(change.Server, parley.RegionName(w.props.Regions[string(change.Site)]), w.props.Site, w.habit(change.Service))
 			if change.Cold > 0 {
 				server.chill(now, change.Cold)
 			}
@@ -357,6 +381,18 @@
 	return w.watch.Duties(), shards.Term, shards.Count
 }
 
+// Judge moves the judge's time on and gives the backends whose standing changed.
+func (w *World) Judge(duties []parley.ServiceName) (changed map[parley.ServerID]string) {
+	scene := w.Scene()
+	sizes := make(map[parley.ServiceName]int, len(duties))
+	for _, service := range duties {
+		sizes[service] = len(scene.Services[service])
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.judge.Tick(w.clock.Now(), sizes)
+}
+
 // Alone tells that this daemon probes only what it owns, not with all others.
 func (w *World) Alone() bool {
 	w.mu.Lock()
--- a/internal/vigil/cache.go
+++ b/internal/vigil/cache.go
@@ -83,7 +83,7 @@
 	if shift < 0 {
 		shift = -shift
 	}
-	if known && old.Health == state.Health && (old.Cold > 0) == (state.Cold > 0) && (state.Cold == 0 || shift < 400*time.Millisecond) {
+	if known && old.Health == state.Health && old.Aside == state.Aside && (old.Cold > 0) == (state.Cold > 0) && (state.Cold == 0 || shift < 400*time.Millisecond) {
 		return false
 	}
 	c.until[state.Server] = until
@@ -97,7 +97,7 @@
 	}
 	old, _ := c.States.Get(server)
 	c.of[server] = service
-	c.put(now, parley.State{Server: server, Health: old.Health, Cold: cold})
+	c.put(now, parley.State{Server: server, Health: old.Health, Aside: old.Aside, Cold: cold})
 }
 
 // ColdUntil gives the end of a backend's cold spell on the leader's clock.
--- /dev/null
+++ b/internal/vigil/judge_test.go
@@ -0,0 +1,134 @@
+package vigil
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tinpin/internal/parley"
+)
+
+// hearing plays outcomes of a service of so many backends into a judge; bad
+// tells what part of a backend's requests from a site fail.
+type hearing struct {
+	judge *Judge
+	now   time.Duration
+	size  int
+	luck  uint64
+	aside map[parley.ServerID]string
+	seen  map[string]bool
+}
+
+func newHearing(size int) *hearing {
+	return &hearing{judge: NewJudge(), size: size, aside: map[parley.ServerID]string{}, seen: map[string]bool{}, luck: 1}
+}
+
+func (h *hearing) roll() float64 {
+	h.luck = h.luck*6364136223846793005 + 1442695040888963407
+	return float64(h.luck>>11) / (1 << 53)
+}
+
+func (h *hearing) play(span time.Duration, sites []parley.SiteName, bad func(n int, site parley.SiteName) float64) {
+	for end := h.now + span; h.now < end; h.now += 500 * time.Millisecond {
+		for _, site := range sites {
+			whole := parley.Tally{Service: "s", Site: site}
+			for n := range h.size {
+				row := parley.Tally{Server: parley.ServerID(fmt.Sprint("i-", n)), Service: "s", Site: site}
+				for range 2 {
+					if h.roll() < bad(n, site) {
+						row.Bad++
+					} else {
+						row.Good++
+					}
+				}
+				whole.Good, whole.Bad = whole.Good+row.Good, whole.Bad+row.Bad
+				if row.Bad > 0 || h.aside[row.Server] != "" {
+					h.judge.Add(h.now, row)
+				}
+			}
+			h.judge.Add(h.now, whole)
+		}
+		for id, aside := range h.judge.Tick(h.now, map[parley.ServiceName]int{"s": h.size}) {
+			h.seen[string(id)+" "+aside] = true
+			if h.aside[id] = aside; aside == "" {
+				delete(h.aside, id)
+			}
+		}
+	}
+}
+
+var oneSite = []parley.SiteName{"here"}
+
+func TestJudgeSetsAsideWhatStandsOut(t *testing.T) {
+	h := newHearing(20)
+	h.play(20*time.Second, oneSite, func(int, parley.SiteName) float64 { return 0.005 })
+	if len(h.aside) != 0 {
+		t.Fatalf("rare failures set aside %v", h.aside)
+	}
+	grey := func(n int, _ parley.SiteName) float64 {
+		if n < 3 {
+			return 0.45
+		}
+		return 0.005
+	}
+	h.play(3*time.Second, oneSite, grey)
+	if len(h.aside) != 3 || h.aside["i-0"] != parley.AsideForAll {
+		t.Fatalf("of three grey backends %v are set aside", h.aside)
+	}
+	h.play(12*time.Second, oneSite, func(int, parley.SiteName) float64 { return 0 })
+	if len(h.aside) != 0 {
+		t.Fatalf("well again, but still aside: %v", h.aside)
+	}
+}
+
+func TestJudgeSpareWhatFailsAlike(t *testing.T) {
+	h := newHearing(20)
+	h.play(10*time.Second, oneSite, func(int, parley.SiteName) float64 { return 0.6 })
+	if len(h.aside) != 0 {
+		t.Fatalf("everything fails, yet %v are set aside", h.aside)
+	}
+	h = newHearing(20)
+	h.play(10*time.Second, oneSite, func(n int, _ parley.SiteName) float64 {
+		if n < 8 {
+			return 0.9
+		}
+		return 0
+	})
+	if most := int(asideMost * float64(h.size)); len(h.aside) > most {
+		t.Fatalf("%d are set aside, the bound is %d", len(h.aside), most)
+	}
+}
+
+func TestJudgeTellsAskingSitesApart(t *testing.T) {
+	h := newHearing(20)
+	h.play(5*time.Second, []parley.SiteName{"here", "there"}, func(n int, site parley.SiteName) float64 {
+		if n == 0 && site == "there" {
+			return 0.8
+		}
+		return 0.005
+	})
+	if !h.seen["i-0 there"] || h.seen["i-0 here"] {
+		t.Fatalf("set aside: %v", h.seen)
+	}
+}
+
+// A backend that relapses waits longer each time.
+func TestJudgeWaitsLongerAtEachRelapse(t *testing.T) {
+	h := newHearing(20)
+	always := func(n int, _ parley.SiteName) float64 {
+		if n == 0 {
+			return 1
+		}
+		return 0
+	}
+	in := 0
+	h.play(40*time.Second, oneSite, func(n int, site parley.SiteName) float64 {
+		if n == 0 && h.aside["i-0"] == "" {
+			in++
+		}
+		return always(n, site)
+	})
+	if in > 40 {
+		t.Fatalf("a backend that fails all was in use for %d of 160 draws", in)
+	}
+}
