--- a/api/oas/oas_client_gen.go
+++ b/api/oas/oas_client_gen.go
@@ -22,6 +22,18 @@
 
 // Invoker invokes operations described by OpenAPI v3 specification.
 type Invoker interface {
+	// BackendRestore invokes backendRestore operation.
+	//
+	// Take such an order back.
+	//
+	// POST /-/Backends.Restore/{instance}
+	BackendRestore(ctx context.Context, params BackendRestoreParams) (*Done, error)
+	// BackendRetire invokes backendRetire operation.
+	//
+	// Order that a backend be sent no new callers.
+	//
+	// POST /-/Backends.Retire/{instance}
+	BackendRetire(ctx context.Context, params BackendRetireParams) (*Done, error)
 	// ConfigDescribe invokes configDescribe operation.
 	//
 	// The newest configuration in full.
@@ -46,6 +58,24 @@
 	//
 	// POST /-/Evacuations.Stop/{zone}
 	EvacuationStop(ctx context.Context, params EvacuationStopParams) (*Done, error)
+	// OrderSet invokes orderSet operation.
+	//
+	// Set a document, the drain policy or the day's plan, or check it without setting.
+	//
+	// POST /-/Orders.Set/{kind}
+	OrderSet(ctx context.Context, request jx.Raw, params OrderSetParams) (*Done, error)
+	// OrderShow invokes orderShow operation.
+	//
+	// The document as agreed, and how what it orders stands.
+	//
+	// GET /-/Orders.Show/{kind}
+	OrderShow(ctx context.Context, params OrderShowParams) (jx.Raw, error)
+	// OrderWithdraw invokes orderWithdraw operation.
+	//
+	// Withdraw a document under a version above the one that holds.
+	//
+	// POST /-/Orders.Withdraw/{kind}/{version}
+	OrderWithdraw(ctx context.Context, params OrderWithdrawParams) (*Done, error)
 	// Readiness invokes readiness operation.
 	//
 	// Whether this daemon takes requests.
@@ -99,6 +129,128 @@
 	return u
 }
 
+// BackendRestore invokes backendRestore operation.
+//
+// Take such an order back.
+//
+// POST /-/Backends.Restore/{instance}
+func (c *Client) BackendRestore(ctx context.Context, params BackendRestoreParams) (*Done, error) {
+	res, err := c.sendBackendRestore(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendBackendRestore(ctx context.Context, params BackendRestoreParams) (res *Done, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/-/Backends.Restore/"
+	{
+		// Encode "instance" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "instance",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Instance))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeBackendRestoreResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
+// BackendRetire invokes backendRetire operation.
+//
+// Order that a backend be sent no new callers.
+//
+// POST /-/Backends.Retire/{instance}
+func (c *Client) BackendRetire(ctx context.Context, params BackendRetireParams) (*Done, error) {
+	res, err := c.sendBackendRetire(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendBackendRetire(ctx context.Context, params BackendRetireParams) (res *Done, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/-/Backends.Retire/"
+	{
+		// Encode "instance" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "instance",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Instance))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeBackendRetireResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ConfigDescribe invokes configDescribe operation.
 //
 // The newest configuration in full.
@@ -310,6 +462,231 @@
 	return result, nil
 }
 
+// OrderSet invokes orderSet operation.
+//
+// Set a document, the drain policy or the day's plan, or check it without setting.
+//
+// POST /-/Orders.Set/{kind}
+func (c *Client) OrderSet(ctx context.Context, request jx.Raw, params OrderSetParams) (*Done, error) {
+	res, err := c.sendOrderSet(ctx, request, params)
+	return res, err
+}
+
+func (c *Client) sendOrderSet(ctx context.Context, request jx.Raw, params OrderSetParams) (res *Done, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/-/Orders.Set/"
+	{
+		// Encode "kind" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "kind",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Kind))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	q := uri.NewQueryEncoder()
+	{
+		// Encode "check" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "check",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Check.Get(); ok {
+				return e.EncodeValue(conv.BoolToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
+	u.RawQuery = q.Values().Encode()
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+	if err := encodeOrderSetRequest(request, r); err != nil {
+		return res, errors.Wrap(err, "encode request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeOrderSetResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
+// OrderShow invokes orderShow operation.
+//
+// The document as agreed, and how what it orders stands.
+//
+// GET /-/Orders.Show/{kind}
+func (c *Client) OrderShow(ctx context.Context, params OrderShowParams) (jx.Raw, error) {
+	res, err := c.sendOrderShow(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendOrderShow(ctx context.Context, params OrderShowParams) (res jx.Raw, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [2]string
+	pathParts[0] = "/-/Orders.Show/"
+	{
+		// Encode "kind" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "kind",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Kind))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeOrderShowResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
+// OrderWithdraw invokes orderWithdraw operation.
+//
+// Withdraw a document under a version above the one that holds.
+//
+// POST /-/Orders.Withdraw/{kind}/{version}
+func (c *Client) OrderWithdraw(ctx context.Context, params OrderWithdrawParams) (*Done, error) {
+	res, err := c.sendOrderWithdraw(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendOrderWithdraw(ctx context.Context, params OrderWithdrawParams) (res *Done, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [4]string
+	pathParts[0] = "/-/Orders.Withdraw/"
+	{
+		// Encode "kind" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "kind",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Kind))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/"
+	{
+		// Encode "version" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "version",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.Int64ToString(params.Version))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[3] = encoded
+	}
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "POST", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeOrderWithdrawResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // Readiness invokes readiness operation.
 //
 // Whether this daemon takes requests.
--- a/api/oas/oas_handlers_gen.go
+++ b/api/oas/oas_handlers_gen.go
@@ -29,6 +29,196 @@
 
 func recordError(string, error) {}
 
+// handleBackendRestoreRequest handles backendRestore operation.
+//
+// Take such an order back.
+//
+// POST /-/Backends.Restore/{instance}
+func (s *Server) handleBackendRestoreRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: BackendRestoreOperation,
+			ID:   "backendRestore",
+		}
+	)
+	params, err := decodeBackendRestoreParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Done
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    BackendRestoreOperation,
+			OperationSummary: "Take such an order back.",
+			OperationID:      "backendRestore",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "instance",
+					In:   "path",
+				}: params.Instance,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = BackendRestoreParams
+			Response = *Done
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackBackendRestoreParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.BackendRestore(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.BackendRestore(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*OtherStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeBackendRestoreResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
+// handleBackendRetireRequest handles backendRetire operation.
+//
+// Order that a backend be sent no new callers.
+//
+// POST /-/Backends.Retire/{instance}
+func (s *Server) handleBackendRetireRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: BackendRetireOperation,
+			ID:   "backendRetire",
+		}
+	)
+	params, err := decodeBackendRetireParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Done
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    BackendRetireOperation,
+			OperationSummary: "Order that a backend be sent no new callers.",
+			OperationID:      "backendRetire",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "instance",
+					In:   "path",
+				}: params.Instance,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = BackendRetireParams
+			Response = *Done
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackBackendRetireParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.BackendRetire(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.BackendRetire(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*OtherStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeBackendRetireResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleConfigDescribeRequest handles configDescribe operation.
 //
 // The newest configuration in full.
@@ -390,6 +580,314 @@
 	}
 }
 
+// handleOrderSetRequest handles orderSet operation.
+//
+// Set a document, the drain policy or the day's plan, or check it without setting.
+//
+// POST /-/Orders.Set/{kind}
+func (s *Server) handleOrderSetRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: OrderSetOperation,
+			ID:   "orderSet",
+		}
+	)
+	params, err := decodeOrderSetParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+	request, rawBody, close, err := s.decodeOrderSetRequest(r)
+	if err != nil {
+		err = &ogenerrors.DecodeRequestError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeRequest", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+	defer func() {
+		if err := close(); err != nil {
+			recordError("CloseRequest", err)
+		}
+	}()
+
+	var response *Done
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    OrderSetOperation,
+			OperationSummary: "Set a document, the drain policy or the day's plan, or check it without setting.",
+			OperationID:      "orderSet",
+			Body:             request,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "kind",
+					In:   "path",
+				}: params.Kind,
+				{
+					Name: "check",
+					In:   "query",
+				}: params.Check,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = jx.Raw
+			Params   = OrderSetParams
+			Response = *Done
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackOrderSetParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.OrderSet(ctx, request, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.OrderSet(ctx, request, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*OtherStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeOrderSetResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
+// handleOrderShowRequest handles orderShow operation.
+//
+// The document as agreed, and how what it orders stands.
+//
+// GET /-/Orders.Show/{kind}
+func (s *Server) handleOrderShowRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: OrderShowOperation,
+			ID:   "orderShow",
+		}
+	)
+	params, err := decodeOrderShowParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response jx.Raw
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    OrderShowOperation,
+			OperationSummary: "The document as agreed, and how what it orders stands.",
+			OperationID:      "orderShow",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "kind",
+					In:   "path",
+				}: params.Kind,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = OrderShowParams
+			Response = jx.Raw
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackOrderShowParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.OrderShow(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.OrderShow(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*OtherStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeOrderShowResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
+// handleOrderWithdrawRequest handles orderWithdraw operation.
+//
+// Withdraw a document under a version above the one that holds.
+//
+// POST /-/Orders.Withdraw/{kind}/{version}
+func (s *Server) handleOrderWithdrawRequest(args [2]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: OrderWithdrawOperation,
+			ID:   "orderWithdraw",
+		}
+	)
+	params, err := decodeOrderWithdrawParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *Done
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    OrderWithdrawOperation,
+			OperationSummary: "Withdraw a document under a version above the one that holds.",
+			OperationID:      "orderWithdraw",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "kind",
+					In:   "path",
+				}: params.Kind,
+				{
+					Name: "version",
+					In:   "path",
+				}: params.Version,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = OrderWithdrawParams
+			Response = *Done
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackOrderWithdrawParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.OrderWithdraw(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.OrderWithdraw(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*OtherStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeOrderWithdrawResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleReadinessRequest handles readiness operation.
 //
 // Whether this daemon takes requests.
--- a/api/oas/oas_operations_gen.go
+++ b/api/oas/oas_operations_gen.go
@@ -6,10 +6,15 @@
 type OperationName = string
 
 const (
+	BackendRestoreOperation  OperationName = "BackendRestore"
+	BackendRetireOperation   OperationName = "BackendRetire"
 	ConfigDescribeOperation  OperationName = "ConfigDescribe"
 	ConfigUpdateOperation    OperationName = "ConfigUpdate"
 	EvacuationStartOperation OperationName = "EvacuationStart"
 	EvacuationStopOperation  OperationName = "EvacuationStop"
+	OrderSetOperation        OperationName = "OrderSet"
+	OrderShowOperation       OperationName = "OrderShow"
+	OrderWithdrawOperation   OperationName = "OrderWithdraw"
 	ReadinessOperation       OperationName = "Readiness"
 	ResolveOperation         OperationName = "Resolve"
 )
--- a/api/oas/oas_parameters_gen.go
+++ b/api/oas/oas_parameters_gen.go
@@ -14,6 +14,176 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// BackendRestoreParams is parameters of backendRestore operation.
+type BackendRestoreParams struct {
+	Instance string
+}
+
+func unpackBackendRestoreParams(packed middleware.Parameters) (params BackendRestoreParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "instance",
+			In:   "path",
+		}
+		params.Instance = packed[key].(string)
+	}
+	return params
+}
+
+func decodeBackendRestoreParams(args [1]string, argsEscaped bool, r *http.Request) (params BackendRestoreParams, _ error) {
+	// Decode path: instance.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "instance",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Instance = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     256,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Instance)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "instance",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
+// BackendRetireParams is parameters of backendRetire operation.
+type BackendRetireParams struct {
+	Instance string
+}
+
+func unpackBackendRetireParams(packed middleware.Parameters) (params BackendRetireParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "instance",
+			In:   "path",
+		}
+		params.Instance = packed[key].(string)
+	}
+	return params
+}
+
+func decodeBackendRetireParams(args [1]string, argsEscaped bool, r *http.Request) (params BackendRetireParams, _ error) {
+	// Decode path: instance.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "instance",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Instance = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     256,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Instance)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "instance",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // EvacuationStartParams is parameters of evacuationStart operation.
 type EvacuationStartParams struct {
 	Zone string
@@ -184,6 +354,384 @@
 	return params, nil
 }
 
+// OrderSetParams is parameters of orderSet operation.
+type OrderSetParams struct {
+	Kind  string
+	Check OptBool `json:",omitempty,omitzero"`
+}
+
+func unpackOrderSetParams(packed middleware.Parameters) (params OrderSetParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "kind",
+			In:   "path",
+		}
+		params.Kind = packed[key].(string)
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "check",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.Check = v.(OptBool)
+		}
+	}
+	return params
+}
+
+func decodeOrderSetParams(args [1]string, argsEscaped bool, r *http.Request) (params OrderSetParams, _ error) {
+	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode path: kind.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "kind",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Kind = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     64,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Kind)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "kind",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	// Decode query: check.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "check",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotCheckVal bool
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToBool(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotCheckVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Check.SetTo(paramsDotCheckVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "check",
+			In:   "query",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
+// OrderShowParams is parameters of orderShow operation.
+type OrderShowParams struct {
+	Kind string
+}
+
+func unpackOrderShowParams(packed middleware.Parameters) (params OrderShowParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "kind",
+			In:   "path",
+		}
+		params.Kind = packed[key].(string)
+	}
+	return params
+}
+
+func decodeOrderShowParams(args [1]string, argsEscaped bool, r *http.Request) (params OrderShowParams, _ error) {
+	// Decode path: kind.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "kind",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Kind = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     64,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Kind)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "kind",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
+// OrderWithdrawParams is parameters of orderWithdraw operation.
+type OrderWithdrawParams struct {
+	Kind    string
+	Version int64
+}
+
+func unpackOrderWithdrawParams(packed middleware.Parameters) (params OrderWithdrawParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "kind",
+			In:   "path",
+		}
+		params.Kind = packed[key].(string)
+	}
+	{
+		key := middleware.ParameterKey{
+			Name: "version",
+			In:   "path",
+		}
+		params.Version = packed[key].(int64)
+	}
+	return params
+}
+
+func decodeOrderWithdrawParams(args [2]string, argsEscaped bool, r *http.Request) (params OrderWithdrawParams, _ error) {
+	// Decode path: kind.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "kind",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Kind = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     64,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         nil,
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Kind)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "kind",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	// Decode path: version.
+	if err := func() error {
+		param := args[1]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[1])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "version",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToInt64(val)
+				if err != nil {
+					return err
+				}
+
+				params.Version = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.Int{
+					MinSet:        true,
+					Min:           1,
+					MaxSet:        false,
+					Max:           0,
+					MinExclusive:  false,
+					MaxExclusive:  false,
+					MultipleOfSet: false,
+					MultipleOf:    0,
+					Pattern:       nil,
+				}).Validate(int64(params.Version)); err != nil {
+					return errors.Wrap(err, "int")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "version",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // ResolveParams is parameters of resolve operation.
 type ResolveParams struct {
 	Name   OptString `json:",omitempty,omitzero"`
--- a/api/oas/oas_request_decoders_gen.go
+++ b/api/oas/oas_request_decoders_gen.go
@@ -86,3 +86,76 @@
 		return req, rawBody, close, validate.InvalidContentType(ct)
 	}
 }
+
+func (s *Server) decodeOrderSetRequest(r *http.Request) (
+	req jx.Raw,
+	rawBody []byte,
+	close func() error,
+	rerr error,
+) {
+	var closers []func() error
+	close = func() error {
+		var merr error
+		// Close in reverse order, to match defer behavior.
+		for i := len(closers) - 1; i >= 0; i-- {
+			c := closers[i]
+			merr = errors.Join(merr, c())
+		}
+		return merr
+	}
+	defer func() {
+		if rerr != nil {
+			rerr = errors.Join(rerr, close())
+		}
+	}()
+	ct, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil {
+		return req, rawBody, close, errors.Wrap(err, "parse media type")
+	}
+	switch {
+	case ct == "application/json":
+		if r.ContentLength == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+		buf, err := io.ReadAll(r.Body)
+		defer func() {
+			_ = r.Body.Close()
+		}()
+		if err != nil {
+			return req, rawBody, close, err
+		}
+
+		// Reset the body to allow for downstream reading.
+		r.Body = io.NopCloser(bytes.NewBuffer(buf))
+
+		if len(buf) == 0 {
+			return req, rawBody, close, validate.ErrBodyRequired
+		}
+
+		rawBody = append(rawBody, buf...)
+		d := jx.DecodeBytes(buf)
+
+		var request jx.Raw
+		if err := func() error {
+			v, err := d.RawAppend(nil)
+			request = jx.Raw(v)
+			if err != nil {
+				return err
+			}
+			if err := d.Skip(); err != io.EOF {
+				return errors.New("unexpected trailing data")
+			}
+			return nil
+		}(); err != nil {
+			err = &ogenerrors.DecodeBodyError{
+				ContentType: ct,
+				Body:        buf,
+				Err:         err,
+			}
+			return req, rawBody, close, err
+		}
+		return request, rawBody, close, nil
+	default:
+		return req, rawBody, close, validate.InvalidContentType(ct)
+	}
+}
--- a/api/oas/oas_request_encoders_gen.go
+++ b/api/oas/oas_request_encoders_gen.go
@@ -25,3 +25,19 @@
 	ht.SetBody(r, bytes.NewReader(encoded), contentType)
 	return nil
 }
+
+func encodeOrderSetRequest(
+	req jx.Raw,
+	r *http.Request,
+) error {
+	const contentType = "application/json"
+	e := new(jx.Encoder)
+	{
+		if len(req) != 0 {
+			e.Raw(req)
+		}
+	}
+	encoded := e.Bytes()
+	ht.SetBody(r, bytes.NewReader(encoded), contentType)
+	return nil
+}
--- a/api/oas/oas_response_decoders_gen.go
+++ b/api/oas/oas_response_decoders_gen.go
@@ -15,6 +15,322 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func decodeBackendRestoreResponse(resp *http.Response) (res *Done, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Done
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *OtherStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			var wrapper OtherStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Location" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Location",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotLocationVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotLocationVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.Location.SetTo(wrapperDotLocationVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Location header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodeBackendRetireResponse(resp *http.Response) (res *Done, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Done
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *OtherStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			var wrapper OtherStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Location" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Location",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotLocationVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotLocationVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.Location.SetTo(wrapperDotLocationVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Location header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeConfigDescribeResponse(resp *http.Response) (res jx.Raw, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -31,11 +347,327 @@
 			}
 			d := jx.DecodeBytes(buf)
 
-			var response jx.Raw
+			var response jx.Raw
+			if err := func() error {
+				v, err := d.RawAppend(nil)
+				response = jx.Raw(v)
+				if err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *OtherStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			var wrapper OtherStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Location" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Location",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotLocationVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotLocationVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.Location.SetTo(wrapperDotLocationVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Location header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodeConfigUpdateResponse(resp *http.Response) (res *Done, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Done
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *OtherStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			var wrapper OtherStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Location" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Location",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotLocationVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotLocationVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.Location.SetTo(wrapperDotLocationVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Location header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodeEvacuationStartResponse(resp *http.Response) (res *Done, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Done
 			if err := func() error {
-				v, err := d.RawAppend(nil)
-				response = jx.Raw(v)
-				if err != nil {
+				if err := response.Decode(d); err != nil {
 					return err
 				}
 				if err := d.Skip(); err != io.EOF {
@@ -50,7 +682,7 @@
 				}
 				return res, err
 			}
-			return response, nil
+			return &response, nil
 		default:
 			return res, validate.InvalidContentType(ct)
 		}
@@ -175,7 +807,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeConfigUpdateResponse(resp *http.Response) (res *Done, _ error) {
+func decodeEvacuationStopResponse(resp *http.Response) (res *Done, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -333,7 +965,7 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeEvacuationStartResponse(resp *http.Response) (res *Done, _ error) {
+func decodeOrderSetResponse(resp *http.Response) (res *Done, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
@@ -491,7 +1123,167 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
-func decodeEvacuationStopResponse(resp *http.Response) (res *Done, _ error) {
+func decodeOrderShowResponse(resp *http.Response) (res jx.Raw, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response jx.Raw
+			if err := func() error {
+				v, err := d.RawAppend(nil)
+				response = jx.Raw(v)
+				if err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *OtherStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			var wrapper OtherStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Location" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Location",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotLocationVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotLocationVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.Location.SetTo(wrapperDotLocationVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Location header")
+				}
+			}
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal string
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToString(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
+func decodeOrderWithdrawResponse(resp *http.Response) (res *Done, _ error) {
 	switch resp.StatusCode {
 	case 200:
 		// Code 200.
--- a/api/oas/oas_response_encoders_gen.go
+++ b/api/oas/oas_response_encoders_gen.go
@@ -12,6 +12,32 @@
 	"github.com/ogen-go/ogen/uri"
 )
 
+func encodeBackendRestoreResponse(response *Done, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
+func encodeBackendRetireResponse(response *Done, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeConfigDescribeResponse(response jx.Raw, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -66,6 +92,47 @@
 	return nil
 }
 
+func encodeOrderSetResponse(response *Done, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
+func encodeOrderShowResponse(response jx.Raw, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	if len(response) != 0 {
+		e.Raw(response)
+	}
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
+func encodeOrderWithdrawResponse(response *Done, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeReadinessResponse(response *Done, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/api/oas/oas_router_gen.go
+++ b/api/oas/oas_router_gen.go
@@ -11,7 +11,10 @@
 )
 
 var (
-	rn3AllowedHeaders = map[string]string{
+	rn9AllowedHeaders = map[string]string{
+		"POST": "Content-Type",
+	}
+	rn16AllowedHeaders = map[string]string{
 		"POST": "Content-Type",
 	}
 )
@@ -46,7 +49,7 @@
 		s.notFound(w, r)
 		return
 	}
-	args := [1]string{}
+	args := [2]string{}
 
 	// Static code generated router with unwrapped path search.
 	switch {
@@ -67,6 +70,92 @@
 				break
 			}
 			switch elem[0] {
+			case 'B': // Prefix: "Backends.Re"
+
+				if l := len("Backends.Re"); len(elem) >= l && elem[0:l] == "Backends.Re" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					break
+				}
+				switch elem[0] {
+				case 's': // Prefix: "store/"
+
+					if l := len("store/"); len(elem) >= l && elem[0:l] == "store/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "instance"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "POST":
+							s.handleBackendRestoreRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "POST",
+								allowedHeaders: nil,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				case 't': // Prefix: "tire/"
+
+					if l := len("tire/"); len(elem) >= l && elem[0:l] == "tire/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "instance"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "POST":
+							s.handleBackendRetireRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "POST",
+								allowedHeaders: nil,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				}
+
 			case 'C': // Prefix: "Config."
 
 				if l := len("Config."); len(elem) >= l && elem[0:l] == "Config." {
@@ -120,7 +209,7 @@
 						default:
 							s.notAllowed(w, r, notAllowedParams{
 								allowedMethods: "POST",
-								allowedHeaders: rn3AllowedHeaders,
+								allowedHeaders: rn9AllowedHeaders,
 								acceptPost:     "application/json",
 								acceptPatch:    "",
 							})
@@ -217,6 +306,166 @@
 
 				}
 
+			case 'O': // Prefix: "Orders."
+
+				if l := len("Orders."); len(elem) >= l && elem[0:l] == "Orders." {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					break
+				}
+				switch elem[0] {
+				case 'S': // Prefix: "S"
+
+					if l := len("S"); len(elem) >= l && elem[0:l] == "S" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case 'e': // Prefix: "et/"
+
+						if l := len("et/"); len(elem) >= l && elem[0:l] == "et/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "kind"
+						// Leaf parameter, slashes are prohibited
+						idx := strings.IndexByte(elem, '/')
+						if idx >= 0 {
+							break
+						}
+						args[0] = elem
+						elem = ""
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch r.Method {
+							case "POST":
+								s.handleOrderSetRequest([1]string{
+									args[0],
+								}, elemIsEscaped, w, r)
+							default:
+								s.notAllowed(w, r, notAllowedParams{
+									allowedMethods: "POST",
+									allowedHeaders: rn16AllowedHeaders,
+									acceptPost:     "application/json",
+									acceptPatch:    "",
+								})
+							}
+
+							return
+						}
+
+					case 'h': // Prefix: "how/"
+
+						if l := len("how/"); len(elem) >= l && elem[0:l] == "how/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "kind"
+						// Leaf parameter, slashes are prohibited
+						idx := strings.IndexByte(elem, '/')
+						if idx >= 0 {
+							break
+						}
+						args[0] = elem
+						elem = ""
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch r.Method {
+							case "GET":
+								s.handleOrderShowRequest([1]string{
+									args[0],
+								}, elemIsEscaped, w, r)
+							default:
+								s.notAllowed(w, r, notAllowedParams{
+									allowedMethods: "GET",
+									allowedHeaders: nil,
+									acceptPost:     "",
+									acceptPatch:    "",
+								})
+							}
+
+							return
+						}
+
+					}
+
+				case 'W': // Prefix: "Withdraw/"
+
+					if l := len("Withdraw/"); len(elem) >= l && elem[0:l] == "Withdraw/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "kind"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "version"
+						// Leaf parameter, slashes are prohibited
+						idx := strings.IndexByte(elem, '/')
+						if idx >= 0 {
+							break
+						}
+						args[1] = elem
+						elem = ""
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch r.Method {
+							case "POST":
+								s.handleOrderWithdrawRequest([2]string{
+									args[0],
+									args[1],
+								}, elemIsEscaped, w, r)
+							default:
+								s.notAllowed(w, r, notAllowedParams{
+									allowedMethods: "POST",
+									allowedHeaders: nil,
+									acceptPost:     "",
+									acceptPatch:    "",
+								})
+							}
+
+							return
+						}
+
+					}
+
+				}
+
 			case 'r': // Prefix: "re"
 
 				if l := len("re"); len(elem) >= l && elem[0:l] == "re" {
@@ -296,7 +545,7 @@
 	operationGroup string
 	pathPattern    string
 	count          int
-	args           [1]string
+	args           [2]string
 }
 
 // Name returns ogen operation name.
@@ -381,6 +630,88 @@
 				break
 			}
 			switch elem[0] {
+			case 'B': // Prefix: "Backends.Re"
+
+				if l := len("Backends.Re"); len(elem) >= l && elem[0:l] == "Backends.Re" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					break
+				}
+				switch elem[0] {
+				case 's': // Prefix: "store/"
+
+					if l := len("store/"); len(elem) >= l && elem[0:l] == "store/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "instance"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "POST":
+							r.name = BackendRestoreOperation
+							r.summary = "Take such an order back."
+							r.operationID = "backendRestore"
+							r.operationGroup = ""
+							r.pathPattern = "/-/Backends.Restore/{instance}"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+
+				case 't': // Prefix: "tire/"
+
+					if l := len("tire/"); len(elem) >= l && elem[0:l] == "tire/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "instance"
+					// Leaf parameter, slashes are prohibited
+					idx := strings.IndexByte(elem, '/')
+					if idx >= 0 {
+						break
+					}
+					args[0] = elem
+					elem = ""
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "POST":
+							r.name = BackendRetireOperation
+							r.summary = "Order that a backend be sent no new callers."
+							r.operationID = "backendRetire"
+							r.operationGroup = ""
+							r.pathPattern = "/-/Backends.Retire/{instance}"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+
+				}
+
 			case 'C': // Prefix: "Config."
 
 				if l := len("Config."); len(elem) >= l && elem[0:l] == "Config." {
@@ -527,6 +858,159 @@
 
 				}
 
+			case 'O': // Prefix: "Orders."
+
+				if l := len("Orders."); len(elem) >= l && elem[0:l] == "Orders." {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					break
+				}
+				switch elem[0] {
+				case 'S': // Prefix: "S"
+
+					if l := len("S"); len(elem) >= l && elem[0:l] == "S" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case 'e': // Prefix: "et/"
+
+						if l := len("et/"); len(elem) >= l && elem[0:l] == "et/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "kind"
+						// Leaf parameter, slashes are prohibited
+						idx := strings.IndexByte(elem, '/')
+						if idx >= 0 {
+							break
+						}
+						args[0] = elem
+						elem = ""
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch method {
+							case "POST":
+								r.name = OrderSetOperation
+								r.summary = "Set a document, the drain policy or the day's plan, or check it without setting."
+								r.operationID = "orderSet"
+								r.operationGroup = ""
+								r.pathPattern = "/-/Orders.Set/{kind}"
+								r.args = args
+								r.count = 1
+								return r, true
+							default:
+								return
+							}
+						}
+
+					case 'h': // Prefix: "how/"
+
+						if l := len("how/"); len(elem) >= l && elem[0:l] == "how/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "kind"
+						// Leaf parameter, slashes are prohibited
+						idx := strings.IndexByte(elem, '/')
+						if idx >= 0 {
+							break
+						}
+						args[0] = elem
+						elem = ""
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch method {
+							case "GET":
+								r.name = OrderShowOperation
+								r.summary = "The document as agreed, and how what it orders stands."
+								r.operationID = "orderShow"
+								r.operationGroup = ""
+								r.pathPattern = "/-/Orders.Show/{kind}"
+								r.args = args
+								r.count = 1
+								return r, true
+							default:
+								return
+							}
+						}
+
+					}
+
+				case 'W': // Prefix: "Withdraw/"
+
+					if l := len("Withdraw/"); len(elem) >= l && elem[0:l] == "Withdraw/" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					// Param: "kind"
+					// Match until "/"
+					idx := strings.IndexByte(elem, '/')
+					if idx < 0 {
+						idx = len(elem)
+					}
+					args[0] = elem[:idx]
+					elem = elem[idx:]
+
+					if len(elem) == 0 {
+						break
+					}
+					switch elem[0] {
+					case '/': // Prefix: "/"
+
+						if l := len("/"); len(elem) >= l && elem[0:l] == "/" {
+							elem = elem[l:]
+						} else {
+							break
+						}
+
+						// Param: "version"
+						// Leaf parameter, slashes are prohibited
+						idx := strings.IndexByte(elem, '/')
+						if idx >= 0 {
+							break
+						}
+						args[1] = elem
+						elem = ""
+
+						if len(elem) == 0 {
+							// Leaf node.
+							switch method {
+							case "POST":
+								r.name = OrderWithdrawOperation
+								r.summary = "Withdraw a document under a version above the one that holds."
+								r.operationID = "orderWithdraw"
+								r.operationGroup = ""
+								r.pathPattern = "/-/Orders.Withdraw/{kind}/{version}"
+								r.args = args
+								r.count = 2
+								return r, true
+							default:
+								return
+							}
+						}
+
+					}
+
+				}
+
 			case 'r': // Prefix: "re"
 
 				if l := len("re"); len(elem) >= l && elem[0:l] == "re" {
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -51,6 +51,52 @@
 	s.Status = val
 }
 
+// NewOptBool returns new OptBool with value set to v.
+func NewOptBool(v bool) OptBool {
+	return OptBool{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptBool is optional bool.
+type OptBool struct {
+	Value bool
+	Set   bool
+}
+
+// IsSet returns true if OptBool was set.
+func (o OptBool) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptBool) Reset() {
+	var v bool
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptBool) SetTo(v bool) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptBool) Get() (v bool, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptBool) Or(d bool) bool {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptString returns new OptString with value set to v.
 func NewOptString(v string) OptString {
 	return OptString{
--- a/api/oas/oas_server_gen.go
+++ b/api/oas/oas_server_gen.go
@@ -10,6 +10,18 @@
 
 // Handler handles operations described by OpenAPI v3 specification.
 type Handler interface {
+	// BackendRestore implements backendRestore operation.
+	//
+	// Take such an order back.
+	//
+	// POST /-/Backends.Restore/{instance}
+	BackendRestore(ctx context.Context, params BackendRestoreParams) (*Done, error)
+	// BackendRetire implements backendRetire operation.
+	//
+	// Order that a backend be sent no new callers.
+	//
+	// POST /-/Backends.Retire/{instance}
+	BackendRetire(ctx context.Context, params BackendRetireParams) (*Done, error)
 	// ConfigDescribe implements configDescribe operation.
 	//
 	// The newest configuration in full.
@@ -34,6 +46,24 @@
 	//
 	// POST /-/Evacuations.Stop/{zone}
 	EvacuationStop(ctx context.Context, params EvacuationStopParams) (*Done, error)
+	// OrderSet implements orderSet operation.
+	//
+	// Set a document, the drain policy or the day's plan, or check it without setting.
+	//
+	// POST /-/Orders.Set/{kind}
+	OrderSet(ctx context.Context, req jx.Raw, params OrderSetParams) (*Done, error)
+	// OrderShow implements orderShow operation.
+	//
+	// The document as agreed, and how what it orders stands.
+	//
+	// GET /-/Orders.Show/{kind}
+	OrderShow(ctx context.Context, params OrderShowParams) (jx.Raw, error)
+	// OrderWithdraw implements orderWithdraw operation.
+	//
+	// Withdraw a document under a version above the one that holds.
+	//
+	// POST /-/Orders.Withdraw/{kind}/{version}
+	OrderWithdraw(ctx context.Context, params OrderWithdrawParams) (*Done, error)
 	// Readiness implements readiness operation.
 	//
 	// Whether this daemon takes requests.
--- a/cmd/tinpin/main.go
+++ b/cmd/tinpin/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"tinpin/internal/clerk"
 	"tinpin/internal/council"
 	"tinpin/internal/events"
 	"tinpin/internal/lens"
@@ -31,13 +33,20 @@
   tinpin status [-at ADDR,..] [-json]  how all daemons stand
   tinpin trace [-at ADDR,..] KIND NAME follow a change through all daemons
   tinpin trace -logs FILE,.. KIND NAME the same from logs
+  tinpin drain set|check FILE          set the drain policy, or check it only
+  tinpin drain show|withdraw VERSION   read it and the retired back; withdraw it
+  tinpin drain retire [-wait TIME] ID  send a backend no new callers
+  tinpin drain restore ID              take that back
+  tinpin plan set|check FILE           set the day's plan, or check it only
+  tinpin plan show|withdraw VERSION    read it and its steps back; withdraw it
   tinpin version                       print the version
   tinpin help                          print this
 
 The daemons read the settings file that TINPIN_CONFIG names. The tools ask the
 accord daemons at the inner addresses given by -at, or else those behind the
 seeds of that file. KIND is item (as in item routes/r1), evacuation, backend
-or health. A tool ends with 1 where something is amiss, with 2 for wrong use.
+health, document, retirement or move. drain and plan ask the control addresses
+given by -control, or else the seeds of that file. A tool ends with 1 where something is amiss, with 2 for wrong use.
 `
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -52,6 +61,9 @@
 		return wrong("no command")
 	}
 	word, rest := args[0], args[1:]
+	if verbs, orders := clerk.Verbs[word]; orders {
+		return ordered(word, verbs, rest, out, bad, wrong)
+	}
 	if word == "-h" || word == "--help" || word == "-help" {
 		word = "help"
 	}
@@ -109,6 +121,46 @@
 	return serve(word, bad)
 }
 
+// ordered carries out one of the operator's orders.
+func ordered(word string, verbs map[string]int, rest []string, out, bad io.Writer, wrong func(string, ...any) int) (code int) {
+	if len(rest) == 0 {
+		return wrong("%s wants a verb", word)
+	}
+	verb := rest[0]
+	want, known := verbs[verb]
+	if !known {
+		return wrong("%s knows no %q", word, verb)
+	}
+	set := flag.NewFlagSet(word, flag.ContinueOnError)
+	set.SetOutput(io.Discard)
+	control := set.String("control", "", "")
+	wait := set.Duration("wait", 0, "")
+	if err := set.Parse(rest[1:]); err != nil {
+		return wrong("%s %s: %v", word, verb, err)
+	}
+	if set.NArg() != want {
+		return wrong("%s %s takes %d argument(s), not %d", word, verb, want, set.NArg())
+	}
+	controls := strings.Split(*control, ",")
+	if *control == "" {
+		p, err := props.Load(os.Getenv("TINPIN_CONFIG"))
+		if err != nil {
+			_, _ = fmt.Fprintln(bad, "tinpin:", err)
+			return 1
+		}
+		controls = p.Seeds
+	}
+	desk := &clerk.Clerk{Controls: controls, Wait: *wait}
+	good, err := desk.Carry(context.Background(), out, word, verb, set.Args())
+	if err != nil {
+		_, _ = fmt.Fprintln(bad, "tinpin:", err)
+	}
+	if err != nil || !good {
+		return 1
+	}
+	return 0
+}
+
 // look carries out one of the operator's tools.
 func look(word string, words []string, at, logs string, asJSON bool, out io.Writer) (good bool, err error) {
 	if logs != "" {
--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -440,6 +440,23 @@
 	}
 }
 
+// noteOrders marks the documents, retirements and moves that changed.
+func (n *Node) noteOrders(before uint64, quiet bool) {
+	for kind, document := range n.state.Documents {
+		if document.Rev > before {
+			n.Chronicle.Note(chronicle.Document, string(kind), "applied", document.Stamp(), document.Rev, quiet)
+		}
+	}
+	for id, retired := range n.state.Retired {
+		if retired.Rev > before {
+			n.Chronicle.Note(chronicle.Retirement, string(id), "applied", retired.Stamp(), retired.Rev, quiet)
+		}
+	}
+	if move := n.state.Move; move.Rev > before {
+		n.Chronicle.Note(chronicle.Move, "day-plan", "applied", move.Stamp(), move.Rev, quiet)
+	}
+}
+
 func (n *Node) apply(entry Entry) (changed bool) {
 	commands, err := Decipher(entry.Data)
 	if err != nil {
@@ -455,6 +472,7 @@
 	}
 	changed = n.state.Rev != before
 	if changed {
+		n.noteOrders(before, entry.Index <= n.loaded)
 		for _, item := range n.state.Canon.Since(before) {
 			n.Chronicle.Note(chronicle.Item, item.Path(), "applied", item.Stamp(), item.Rev, entry.Index <= n.loaded)
 		}
--- a/internal/accord/state.go
+++ b/internal/accord/state.go
@@ -9,9 +9,14 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"encoding/json"
 	"time"
 
 	"tinpin/internal/canon"
+	"tinpin/internal/dayplan"
+	"tinpin/internal/drain"
+	"tinpin/internal/order"
+	"tinpin/internal/parley"
 )
 
 // CommandKind tells commands apart.
@@ -26,6 +31,17 @@
 	CommandFree
 	CommandExpire
 	CommandBarrier
+	// CommandOrder sets the document that Site names, or withdraws it where Body
+	// is empty; Upto is then the version.
+	CommandOrder
+	// CommandRetire announces that the backend Site of the service Body be
+	// retired, by Holder; CommandStop commits its stop, CommandRestore takes the
+	// order back.
+	CommandRetire
+	CommandStop
+	CommandRestore
+	// CommandMove commits a step of the day's plan.
+	CommandMove
 )
 
 // Command is one wish put before the cores.
@@ -77,6 +93,9 @@
 type State struct {
 	Canon       *canon.Canon
 	Evacuations map[string]Evacuation
+	Documents   map[order.Kind]order.Document
+	Retired     map[parley.ServerID]parley.Retirement
+	Move        parley.Move
 	claims      map[string]*heldClaim
 	order       []*heldClaim
 	seq         uint64
@@ -85,7 +104,7 @@
 
 // NewState is empty.
 func NewState() (state *State) {
-	return &State{Canon: canon.New(), Evacuations: map[string]Evacuation{}, claims: map[string]*heldClaim{}}
+	return &State{Canon: canon.New(), Evacuations: map[string]Evacuation{}, Documents: map[order.Kind]order.Document{}, Retired: map[parley.ServerID]parley.Retirement{}, claims: map[string]*heldClaim{}}
 }
 
 // Claims counts the keys held.
@@ -136,10 +155,100 @@
 			cut++
 		}
 		s.order = append([]*heldClaim(nil), s.order[cut:]...)
+	case CommandOrder:
+		if err := s.setDocument(rev, command); err != nil {
+			return Result{Problem: err.Error()}
+		}
+	case CommandRetire, CommandStop, CommandRestore:
+		s.retire(rev, command)
+	case CommandMove:
+		var next parley.Move
+		if json.Unmarshal(command.Body, &next) != nil || !dayplan.Follows(s.Move, next, uint64(s.Documents[order.DayPlan].Version)) || !s.Documents[order.DayPlan].InForce() {
+			return Result{Problem: "the step does not follow what is agreed"}
+		}
+		next.Rev = rev
+		s.Move, s.Rev = next, rev
 	}
 	return Result{Granted: true}
 }
 
+// ReadDocument reads a document and checks it against the services that stand.
+func ReadDocument(kind order.Kind, body []byte, config *canon.Canon) (document order.Document, err error) {
+	known := func(service string) bool { return config.Stands(canon.Services, service) }
+	document = order.Document{Kind: kind, Body: string(body)}
+	switch kind {
+	case order.DrainPolicy:
+		policy, readErr := drain.Read(body)
+		if readErr != nil {
+			return document, readErr
+		}
+		document.Version, err = policy.Version, policy.Check(known)
+	case order.DayPlan:
+		plan, readErr := dayplan.Read(body)
+		if readErr != nil {
+			return document, readErr
+		}
+		document.Version, err = plan.Version, plan.Check(known, func(parley.RegionName) bool { return true })
+	default:
+		err = order.Class.New("unknown kind of document %q", kind)
+	}
+	return document, err
+}
+
+func (s *State) setDocument(rev uint64, command Command) (err error) {
+	kind := order.Kind(command.Site)
+	next := order.Document{Kind: kind, Version: order.Version(command.Upto)}
+	if len(command.Body) > 0 {
+		if next, err = ReadDocument(kind, command.Body, s.Canon); err != nil {
+			return err
+		}
+	}
+	after, changed, err := s.Documents[kind].Next(next)
+	if err != nil || !changed {
+		return err
+	}
+	after.Rev = rev
+	s.Documents[kind], s.Rev = after, rev
+	if kind == order.DayPlan && !after.InForce() {
+		// The count and its time stay, so that no later step goes back.
+		s.Move.Targets, s.Move.Rev = nil, rev
+	}
+	return nil
+}
+
+// takenBackMost is how many orders that were taken back are remembered.
+const takenBackMost = 512
+
+func (s *State) retire(rev uint64, command Command) {
+	id := parley.ServerID(command.Site)
+	standing, known := s.Retired[id]
+	known = known && !standing.Gone
+	switch {
+	case command.Kind == CommandRetire && !known:
+		standing = parley.Retirement{Server: id, Service: parley.ServiceName(command.Body), By: command.Holder, Announced: rev}
+	case command.Kind == CommandStop && known && standing.Stopped == 0:
+		standing.Stopped = rev
+	case command.Kind == CommandRestore && known:
+		standing.Gone = true
+	default:
+		return
+	}
+	standing.Rev = rev
+	s.Retired[id], s.Rev = standing, rev
+	var goneID parley.ServerID
+	gone := 0
+	for other, retired := range s.Retired {
+		if retired.Gone {
+			if gone++; goneID == "" || retired.Rev < s.Retired[goneID].Rev {
+				goneID = other
+			}
+		}
+	}
+	if gone > takenBackMost {
+		delete(s.Retired, goneID)
+	}
+}
+
 // Expirable gives the place up to which claims are older than window.
 func (s *State) Expirable(now, window time.Duration) (upto uint64) {
 	for _, claim := range s.order {
@@ -154,6 +263,9 @@
 type frozen struct {
 	Canon       []canon.Item
 	Evacuations map[string]Evacuation
+	Documents   map[order.Kind]order.Document
+	Retired     map[parley.ServerID]parley.Retirement
+	Move        parley.Move
 	Claims      []Claim
 	Seqs        []uint64
 	Seq, Rev    uint64
@@ -161,7 +273,7 @@
 
 // Freeze writes the state out for a snapshot.
 func (s *State) Freeze() (data []byte, err error) {
-	still := frozen{Canon: s.Canon.Items(), Evacuations: s.Evacuations, Seq: s.seq, Rev: s.Rev}
+	still := frozen{Canon: s.Canon.Items(), Evacuations: s.Evacuations, Documents: s.Documents, Retired: s.Retired, Move: s.Move, Seq: s.seq, Rev: s.Rev}
 	for _, claim := range s.order {
 		if s.claims[claim.Key] == claim {
 			still.Claims = append(still.Claims, claim.Claim)
@@ -191,6 +303,13 @@
 	if still.Evacuations != nil {
 		state.Evacuations = still.Evacuations
 	}
+	if still.Documents != nil {
+		state.Documents = still.Documents
+	}
+	if still.Retired != nil {
+		state.Retired = still.Retired
+	}
+	state.Move = still.Move
 	state.seq, state.Rev = still.Seq, still.Rev
 	for i, claim := range still.Claims {
 		held := &heldClaim{Claim: claim, Seq: still.Seqs[i], at: now}
--- a/internal/canon/canon.go
+++ b/internal/canon/canon.go
@@ -155,6 +155,12 @@
 	return size
 }
 
+// Stands tells whether an item is set and not dropped.
+func (c *Canon) Stands(set Set, named string) (stands bool) {
+	found := c.items[name{set, named}]
+	return found != nil && !found.Dropped
+}
+
 // Empty tells that nothing was ever set.
 func (c *Canon) Empty() bool { return len(c.items) == 0 }
 
--- a/internal/canon/view.go
+++ b/internal/canon/view.go
@@ -45,7 +45,8 @@
 	return view
 }
 
-func plainHost(host string) string {
+// PlainHost is a host without its port, in small letters.
+func PlainHost(host string) string {
 	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:at]
 	}
@@ -54,7 +55,7 @@
 
 // Find gives the way with the longest prefix of the path.
 func (v *View) Find(host, path string) (way *Way) {
-	ways := v.hosts[plainHost(host)]
+	ways := v.hosts[PlainHost(host)]
 	if ways == nil {
 		return nil
 	}
@@ -66,12 +67,26 @@
 	return nil
 }
 
+// ServicesOf lists the services that a host's ways go to, each once.
+func (v *View) ServicesOf(host string) (services []string) {
+	seen := map[string]bool{}
+	for _, way := range v.hosts[PlainHost(host)] {
+		for _, target := range way.Targets {
+			if !seen[target.Service] {
+				seen[target.Service] = true
+				services = append(services, target.Service)
+			}
+		}
+	}
+	return services
+}
+
 // Tenant gives the tenant of a host, nil where none is set.
 func (v *View) Tenant(host string) (tenant *Tenant) {
 	if len(v.tenants) == 0 {
 		return nil
 	}
-	return v.tenants[plainHost(host)]
+	return v.tenants[PlainHost(host)]
 }
 
 // Tenants lists each tenant once.
@@ -90,7 +105,7 @@
 // has no such way or they are bound to different ones. Other ways do not
 // matter: they keep no answers and may be served from there as well.
 func (v *View) Homes(host string) (homes []string) {
-	for _, way := range v.hosts[plainHost(host)] {
+	for _, way := range v.hosts[PlainHost(host)] {
 		if way.Repeat != Keyed || len(way.Homes) == 0 {
 			continue
 		}
--- a/internal/chronicle/chronicle.go
+++ b/internal/chronicle/chronicle.go
@@ -20,10 +20,13 @@
 	Evacuation = "evacuation"
 	Backend    = "backend"
 	Health     = "health"
+	Document   = "document"
+	Retirement = "retirement"
+	Move       = "move"
 )
 
 // Kinds lists them.
-var Kinds = []string{Item, Evacuation, Backend, Health}
+var Kinds = []string{Item, Evacuation, Backend, Health, Document, Retirement, Move}
 
 // Mark is one thing that happened to a subject here.
 type Mark struct {
--- /dev/null
+++ b/internal/clerk/clerk.go
@@ -0,0 +1,200 @@
+// Package clerk carries an operator's orders to the accord daemons: it tries
+// each control address in turn, follows the way to the leader, and tells what
+// was answered. Every call it makes may be made again: the same order twice
+// changes nothing.
+package clerk
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"tinpin/internal/council"
+	"tinpin/internal/drain"
+	"tinpin/internal/order"
+)
+
+// Class marks failures of an operator's call.
+var Class = errs.Class("order")
+
+const (
+	callPatience = 3 * time.Second
+	pollPause    = 200 * time.Millisecond
+)
+
+// Clerk knows where the accord daemons are.
+type Clerk struct {
+	Controls []string
+	// Wait is how long to wait for a retired backend to be let go by all.
+	Wait   time.Duration
+	client http.Client
+}
+
+// Verbs are the words that follow drain and plan, with what they take.
+var Verbs = map[string]map[string]int{
+	"drain": {"set": 1, "check": 1, "show": 0, "withdraw": 1, "retire": 1, "restore": 1},
+	"plan":  {"set": 1, "check": 1, "show": 0, "withdraw": 1},
+}
+
+var kinds = map[string]order.Kind{"drain": order.DrainPolicy, "plan": order.DayPlan}
+
+// Carry carries one order out and prints what came of it; good tells that it
+// stands as asked.
+func (c *Clerk) Carry(ctx context.Context, out io.Writer, subject, verb string, words []string) (good bool, err error) {
+	kind := kinds[subject]
+	switch verb {
+	case "set", "check":
+		body, readErr := os.ReadFile(words[0])
+		if readErr != nil {
+			return false, Class.Wrap(readErr)
+		}
+		path := "/-/Orders.Set/" + string(kind)
+		if verb == "check" {
+			path += "?check=true"
+		}
+		return c.tell(ctx, out, path, body)
+	case "withdraw":
+		if _, numberErr := strconv.ParseUint(words[0], 10, 63); numberErr != nil {
+			return false, Class.New("withdraw takes a version above the one that holds, not %q", words[0])
+		}
+		return c.tell(ctx, out, "/-/Orders.Withdraw/"+string(kind)+"/"+words[0], nil)
+	case "restore":
+		return c.tell(ctx, out, "/-/Backends.Restore/"+url.PathEscape(words[0]), nil)
+	case "retire":
+		return c.retire(ctx, out, words[0])
+	}
+	shown, err := c.show(ctx, kind)
+	if err != nil {
+		return false, err
+	}
+	return true, print(out, shown)
+}
+
+func (c *Clerk) tell(ctx context.Context, out io.Writer, path string, body []byte) (good bool, err error) {
+	answer, err := c.call(ctx, http.MethodPost, path, body)
+	if err != nil {
+		return false, err
+	}
+	var done struct{ Status string }
+	if err = json.Unmarshal(answer, &done); err != nil {
+		return false, Class.Wrap(err)
+	}
+	_, err = fmt.Fprintln(out, done.Status)
+	return true, Class.Wrap(err)
+}
+
+// retire orders it and, where asked to, waits until all daemons in touch follow.
+func (c *Clerk) retire(ctx context.Context, out io.Writer, id string) (good bool, err error) {
+	if good, err = c.tell(ctx, out, "/-/Backends.Retire/"+url.PathEscape(id), nil); err != nil || c.Wait <= 0 {
+		return good, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Wait)
+	defer cancel()
+	for last := ""; ; {
+		shown, showErr := c.show(ctx, order.DrainPolicy)
+		if showErr == nil {
+			for _, account := range shown.Retiring {
+				if account.Server != id {
+					continue
+				}
+				if said := string(account.Phase) + " " + account.Why; said != last {
+					last = said
+					_, _ = fmt.Fprintln(out, strings.TrimSpace(fmt.Sprintf("%s, %d of %d daemons follow %s", account.Phase, account.Follow, account.Of, account.Why)))
+				}
+				if account.Phase == drain.Together {
+					return true, nil
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return false, Class.New("not all daemons follow after %s", c.Wait)
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+func (c *Clerk) show(ctx context.Context, kind order.Kind) (shown council.Shown, err error) {
+	answer, err := c.call(ctx, http.MethodGet, "/-/Orders.Show/"+string(kind), nil)
+	if err != nil {
+		return shown, err
+	}
+	return shown, Class.Wrap(json.Unmarshal(answer, &shown))
+}
+
+// call tries each control address; an answer below 500 is the answer.
+func (c *Clerk) call(ctx context.Context, method, path string, body []byte) (answer []byte, err error) {
+	err = Class.New("no control address is given")
+	for _, control := range c.Controls {
+		if answer, err = c.ask(ctx, method, "http://"+control+path, body); err == nil || refusal.Has(err) {
+			return answer, err
+		}
+	}
+	return nil, err
+}
+
+// refusal marks answers that no other daemon would give otherwise.
+var refusal = errs.Class("refused")
+
+func (c *Clerk) ask(ctx context.Context, method, target string, body []byte) (answer []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callPatience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if answer, err = io.ReadAll(io.LimitReader(response.Body, 8<<20)); err != nil {
+		return nil, Class.Wrap(err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return answer, nil
+	}
+	var told struct {
+		Text string `json:"error_message"`
+	}
+	_ = json.Unmarshal(answer, &told)
+	if response.StatusCode < 500 {
+		return nil, refusal.New("%s", told.Text)
+	}
+	return nil, Class.New("%d %s", response.StatusCode, told.Text)
+}
+
+func print(out io.Writer, shown council.Shown) (err error) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	state := "in force"
+	if !shown.InForce {
+		state = "not in force"
+	}
+	_, _ = fmt.Fprintf(table, "%s\tversion %d\t%s\n", shown.Kind, shown.Version, state)
+	for _, account := range shown.Retiring {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d of %d follow\t%s %s\n", account.Server, account.Service, account.Phase, account.Follow, account.Of, account.Why, strings.Join(account.Missing, ","))
+	}
+	if shown.Step > 0 {
+		_, _ = fmt.Fprintf(table, "step\t%d\n", shown.Step)
+	}
+	for _, account := range shown.Moving {
+		_, _ = fmt.Fprintf(table, "%s\tnow %v\twanted %v\t%s\n", account.Target, account.Now, account.Wanted, account.Waiting)
+	}
+	if err = table.Flush(); err != nil || !shown.InForce {
+		return Class.Wrap(err)
+	}
+	_, err = fmt.Fprintln(out, string(shown.Document))
+	return Class.Wrap(err)
+}
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -70,7 +70,10 @@
 	if council.inner, err = parley.Serve(p.Inner("accord"), map[string]any{"Accord": node.Desk(), "Forum": council.desk, "Status": &Status{council}}); err != nil {
 		return nil, err
 	}
-	if council.office, err = office.Serve(p.Control, office.Duties{Update: council.update, Describe: council.describe, Evacuate: council.evacuate}); err != nil {
+	if council.office, err = office.Serve(p.Control, office.Duties{
+		Update: council.update, Describe: council.describe, Evacuate: council.evacuate,
+		Order: council.order, Withdraw: council.withdraw, Show: council.show, Retire: council.retire,
+	}); err != nil {
 		return nil, err
 	}
 	node.Run()
--- /dev/null
+++ b/internal/council/orders.go
@@ -0,0 +1,154 @@
+// Orders is the operator's side of the drain policy, of retiring and of the
+// day's plan. A call is looked over by the leader, which knows the list and
+// the regions, and again where it is applied, on the state it meets there.
+package council
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"tinpin/internal/accord"
+	"tinpin/internal/chronicle"
+	"tinpin/internal/dayplan"
+	"tinpin/internal/drain"
+	"tinpin/internal/events"
+	"tinpin/internal/forum"
+	"tinpin/internal/office"
+	"tinpin/internal/order"
+	"tinpin/internal/parley"
+	"tinpin/internal/problem"
+)
+
+func refused(err error) error {
+	return &office.Trouble{Kind: problem.BadOrder, Text: err.Error()}
+}
+
+// open gives the forum of this core if it leads.
+func (c *Council) open(path string) (open *forum.Forum, err error) {
+	if err = c.elsewhere(path); err != nil {
+		return nil, err
+	}
+	if open = c.desk.Forum(); open == nil {
+		return nil, &office.Trouble{Kind: problem.Unclear, Text: "no leader is settled now"}
+	}
+	return open, nil
+}
+
+func (c *Council) order(_ context.Context, kind order.Kind, body []byte, check bool) (err error) {
+	path := "/-/Orders.Set/" + string(kind)
+	if check {
+		path += "?check=true"
+	}
+	open, err := c.open(path)
+	if err != nil {
+		return err
+	}
+	var document order.Document
+	c.node.Read(func(state *accord.State) {
+		if document, err = accord.ReadDocument(kind, body, state.Canon); err == nil {
+			_, _, err = state.Documents[kind].Next(document)
+		}
+	})
+	if err == nil && kind == order.DayPlan {
+		err = open.CheckPlan(body)
+	}
+	if err != nil {
+		return refused(err)
+	}
+	if check {
+		return nil
+	}
+	result, err := c.wish(accord.Command{Kind: accord.CommandOrder, Site: string(kind), Body: body})
+	return c.ordered(chronicle.Document, string(kind), "set", result, err)
+}
+
+func (c *Council) withdraw(_ context.Context, kind order.Kind, version order.Version) (err error) {
+	if !kind.Known() {
+		return refused(order.Class.New("unknown kind of document %q", kind))
+	}
+	if _, err = c.open(fmt.Sprintf("/-/Orders.Withdraw/%s/%d", kind, version)); err != nil {
+		return err
+	}
+	result, err := c.wish(accord.Command{Kind: accord.CommandOrder, Site: string(kind), Upto: uint64(version)})
+	return c.ordered(chronicle.Document, string(kind), "withdrawn", result, err)
+}
+
+func (c *Council) ordered(kind, name, what string, result accord.Result, err error) error {
+	if err != nil {
+		return err
+	}
+	if result.Problem != "" {
+		return refused(order.Class.New("%s", result.Problem))
+	}
+	c.log.Say(events.OrderTaken, "kind", kind, "name", name, "what", what)
+	c.node.Chronicle.Note(kind, name, "acknowledged", "", 0, true)
+	return nil
+}
+
+// Shown is what reading an order back gives.
+type Shown struct {
+	Kind     order.Kind        `json:"kind"`
+	Version  order.Version     `json:"version"`
+	InForce  bool              `json:"in_force"`
+	Document json.RawMessage   `json:"document,omitempty"`
+	Retiring []drain.Account   `json:"retiring,omitempty"`
+	Moving   []dayplan.Account `json:"moving,omitempty"`
+	Step     uint64            `json:"step,omitempty"`
+}
+
+func (c *Council) show(_ context.Context, kind order.Kind) (text []byte, err error) {
+	if !kind.Known() {
+		return nil, refused(order.Class.New("unknown kind of document %q", kind))
+	}
+	open, err := c.open("/-/Orders.Show/" + string(kind))
+	if err != nil {
+		return nil, err
+	}
+	if _, err = c.wish(accord.Command{Kind: accord.CommandBarrier}); err != nil {
+		return nil, err
+	}
+	shown := Shown{Kind: kind}
+	c.node.Read(func(state *accord.State) {
+		document := state.Documents[kind]
+		shown.Version, shown.InForce, shown.Document = document.Version, document.InForce(), json.RawMessage(document.Body)
+		if kind == order.DayPlan {
+			shown.Step = state.Move.Count
+		}
+	})
+	if kind == order.DayPlan {
+		shown.Moving = open.Moving()
+	} else {
+		shown.Retiring = open.Retiring()
+	}
+	return json.Marshal(shown)
+}
+
+func (c *Council) retire(_ context.Context, id parley.ServerID, back bool) (phase string, err error) {
+	if back {
+		if _, err = c.open("/-/Backends.Restore/" + string(id)); err != nil {
+			return "", err
+		}
+		result, wishErr := c.wish(accord.Command{Kind: accord.CommandRestore, Site: string(id)})
+		return "restored", c.ordered(chronicle.Retirement, string(id), "restored", result, wishErr)
+	}
+	open, err := c.open("/-/Backends.Retire/" + string(id))
+	if err != nil {
+		return "", err
+	}
+	service, err := open.CheckRetire(id)
+	if err != nil {
+		return "", refused(err)
+	}
+	command := accord.Command{Kind: accord.CommandRetire, Site: string(id), Body: []byte(service), Claim: accord.Claim{Holder: drain.ByOperator}}
+	result, err := c.wish(command)
+	if err = c.ordered(chronicle.Retirement, string(id), "retired", result, err); err != nil {
+		return "", err
+	}
+	for _, account := range open.Retiring() {
+		if account.Server == string(id) {
+			return string(account.Phase), nil
+		}
+	}
+	return string(drain.Announced), nil
+}
--- a/internal/council/status.go
+++ b/internal/council/status.go
@@ -8,6 +8,7 @@
 	"tinpin/internal/canon"
 	"tinpin/internal/chronicle"
 	"tinpin/internal/forum"
+	"tinpin/internal/order"
 	"tinpin/internal/parley"
 )
 
@@ -59,6 +60,19 @@
 			item, reply.Has = state.Canon.Find(ask.Name)
 			reply.Stamp, reply.Rev = item.Stamp(), item.Rev
 		})
+	case chronicle.Document, chronicle.Retirement, chronicle.Move:
+		s.council.node.Read(func(state *accord.State) {
+			switch ask.Kind {
+			case chronicle.Document:
+				document, has := state.Documents[order.Kind(ask.Name)]
+				reply.Stamp, reply.Rev, reply.Has = document.Stamp(), document.Rev, has
+			case chronicle.Retirement:
+				retired, has := state.Retired[parley.ServerID(ask.Name)]
+				reply.Stamp, reply.Rev, reply.Has = retired.Stamp(), retired.Rev, has
+			default:
+				reply.Stamp, reply.Rev, reply.Has = state.Move.Stamp(), state.Move.Rev, state.Move.Rev > 0
+			}
+		})
 	case chronicle.Evacuation:
 		c.node.Read(func(state *accord.State) {
 			var evacuation accord.Evacuation
--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -11,7 +11,10 @@
 	"testing"
 
 	"tinpin/internal/canon"
+	"tinpin/internal/dayplan"
+	"tinpin/internal/drain"
 	"tinpin/internal/events"
+	"tinpin/internal/parley"
 	"tinpin/internal/problem"
 	"tinpin/internal/props"
 )
@@ -46,7 +49,7 @@
 
 func TestErrorsTable(t *testing.T) {
 	text := page(t, "docs/errors.md")
-	for kind := problem.BadRequest; kind <= problem.NotStarted; kind++ {
+	for kind := problem.BadRequest; kind <= problem.CutOff; kind++ {
 		answer := kind.Answer()
 		ran := "no"
 		if answer.Ran {
@@ -110,6 +113,43 @@
 	}
 }
 
+// The examples of policies and plans are read, and those that are said to be
+// refused are refused.
+func TestOrderExamples(t *testing.T) {
+	services := map[string]bool{"pay": true, "booking": true}
+	known := func(service string) bool { return services[service] }
+	policies, plans := examples(page(t, "docs/draining.md"), "policy"), examples(page(t, "docs/day-plan.md"), "plan")
+	if len(policies) < 2 || len(plans) < 2 {
+		t.Fatal("the pages have lost their examples")
+	}
+	for _, body := range policies {
+		if policy, err := drain.Read([]byte(body)); err != nil || policy.Check(known) != nil {
+			t.Error(err, policy.Check(known))
+		}
+	}
+	for _, body := range plans {
+		plan, err := dayplan.Read([]byte(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err = plan.Check(known, func(region parley.RegionName) bool {
+			return region == "nairobi" || region == "mombasa" || region == "kisumu"
+		}); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, body := range examples(page(t, "docs/draining.md"), "refused") {
+		if _, err := drain.Read([]byte(body)); err == nil {
+			t.Errorf("taken: %s", body)
+		}
+	}
+	for _, body := range examples(page(t, "docs/day-plan.md"), "refused") {
+		if _, err := dayplan.Read([]byte(body)); err == nil {
+			t.Errorf("taken: %s", body)
+		}
+	}
+}
+
 func TestTenantExamples(t *testing.T) {
 	for _, call := range examples(page(t, "docs/tenants.md"), "call") {
 		if err := canon.New().Apply([]byte(call), 1); err != nil {
--- /dev/null
+++ b/internal/drain/policy.go
@@ -0,0 +1,144 @@
+// Package drain retires backends by one policy that every daemon reads alike.
+// An order passes through agreed epochs: announced, so that all know of it;
+// stopped, from which on no daemon sends a new caller there; and it counts as
+// together once every daemon in touch has confirmed that epoch. This file is
+// the written policy.
+package drain
+
+import (
+	"fmt"
+	"time"
+
+	"tinpin/internal/order"
+	"tinpin/internal/parley"
+)
+
+// AllServices is the rule that holds where a service has none of its own.
+const AllServices = "*"
+
+// What keyed requests at work do when their backend leaves.
+const (
+	KeyedFinish   = "finish"
+	KeyedDeadline = "deadline"
+)
+
+// What a daemon does that has lost touch with the others.
+const (
+	CutOffStop  = "stop"
+	CutOffServe = "serve"
+)
+
+// Span is a time written as text.
+type Span time.Duration
+
+// UnmarshalText reads it.
+func (s *Span) UnmarshalText(text []byte) (err error) {
+	span, err := time.ParseDuration(string(text))
+	*s = Span(span)
+	return err
+}
+
+// MarshalText writes it.
+func (s Span) MarshalText() (text []byte, err error) { return []byte(time.Duration(s).String()), nil }
+
+// Rule is the policy for one service, or for all.
+type Rule struct {
+	Service string `json:"service"`
+	// Notice is how long before the stop all daemons know of it.
+	Notice Span `json:"notice"`
+	// Finish is how long requests at work may go on after the stop.
+	Finish Span `json:"finish"`
+	// Keyed is "finish", or "deadline" to let keyed requests run until their own.
+	Keyed string `json:"keyed"`
+	// LeastShare is the part of the service that must stay in use.
+	LeastShare float64 `json:"least_share"`
+}
+
+// Policy is the whole document.
+type Policy struct {
+	Version order.Version `json:"version"`
+	Rules   []Rule        `json:"rules"`
+	// LostTouch is after how long a daemon that hears neither a leader nor more
+	// than half of its fellows counts itself as cut off, and CutOff what it does.
+	LostTouch Span   `json:"lost_touch"`
+	CutOff    string `json:"cut_off"`
+}
+
+const (
+	longest   = Span(time.Hour)
+	touchMin  = Span(time.Second)
+	rulesMost = 1000
+)
+
+// Read reads a policy and checks what can be seen from it alone.
+func Read(body []byte) (policy *Policy, err error) {
+	policy = &Policy{}
+	if err = order.Open(body, policy); err != nil {
+		return nil, err
+	}
+	faults := &order.Faults{}
+	if policy.Version == 0 {
+		faults.Add("version", "must be 1 or more")
+	}
+	if len(policy.Rules) == 0 || len(policy.Rules) > rulesMost {
+		faults.Add("rules", "must hold one rule or more")
+	}
+	named := map[string]bool{}
+	for i, rule := range policy.Rules {
+		where := func(field string) string { return fmt.Sprintf("rules.%d.%s", i, field) }
+		if rule.Service == "" || named[rule.Service] {
+			faults.Add(where("service"), "is missing or named twice")
+		}
+		named[rule.Service] = true
+		if rule.Notice < 0 || rule.Notice > longest {
+			faults.Add(where("notice"), "must be a time up to 1h")
+		}
+		if rule.Finish <= 0 || rule.Finish > longest {
+			faults.Add(where("finish"), "must be a time above 0 and up to 1h")
+		}
+		if rule.Keyed != KeyedFinish && rule.Keyed != KeyedDeadline {
+			faults.Add(where("keyed"), `must be "finish" or "deadline"`)
+		}
+		if !(rule.LeastShare >= 0 && rule.LeastShare < 1) {
+			faults.Add(where("least_share"), "must be 0 or more and below 1")
+		}
+	}
+	if policy.LostTouch < touchMin || policy.LostTouch > longest {
+		faults.Add("lost_touch", "must be a time from 1s to 1h")
+	}
+	if policy.CutOff != CutOffStop && policy.CutOff != CutOffServe {
+		faults.Add("cut_off", `must be "stop" or "serve"`)
+	}
+	return policy, faults.Err()
+}
+
+// Check tells which services a policy names that are not known.
+func (p *Policy) Check(known func(service string) bool) (err error) {
+	faults := &order.Faults{}
+	for i, rule := range p.Rules {
+		if rule.Service != AllServices && !known(rule.Service) {
+			faults.Add(fmt.Sprintf("rules.%d.service", i), fmt.Sprintf("names unknown service %q", rule.Service))
+		}
+	}
+	return faults.Err()
+}
+
+// usual holds where no policy or no rule does.
+var usual = Rule{Service: AllServices, Finish: Span(30 * time.Second), Keyed: KeyedDeadline, LeastShare: 0}
+
+// For gives the rule of a service.
+func (p *Policy) For(service parley.ServiceName) (rule Rule) {
+	rule = usual
+	if p == nil {
+		return rule
+	}
+	for _, candidate := range p.Rules {
+		switch candidate.Service {
+		case string(service):
+			return candidate
+		case AllServices:
+			rule = candidate
+		}
+	}
+	return rule
+}
--- /dev/null
+++ b/internal/drain/sim_test.go
@@ -0,0 +1,337 @@
+// The simulation retires backends on a busy morning: daemons that join, are
+// cut off and start anew, a leader that changes in between, clients that keep
+// coming, keyed ones among them. The real agreed state, desk and permits meet
+// under a seeded clock. Runs are counted at the stand-in backend. Once the
+// leader has told that all follow together, no daemon in touch may send a new
+// caller there, and one that is cut off must stop within its bound; every
+// request is completed once or refused.
+package drain
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"tinpin/internal/parley"
+)
+
+type simFault struct {
+	deaf  bool // permits do not heed the stop
+	blind bool // a daemon that is cut off goes on
+	hasty bool // the desk commits the stop with nobody confirming
+}
+
+type simDaemon struct {
+	id      parley.FellowID
+	permit  *Permit
+	rev     uint64
+	fresh   bool // has what is agreed
+	cutTill time.Duration
+	downTil time.Duration
+	beatAt  time.Duration
+}
+
+type simDrain struct {
+	t       *testing.T
+	luck    *rand.Rand
+	fault   simFault
+	now     time.Duration
+	rev     uint64
+	agreed  map[parley.ServerID]parley.Retirement
+	policy  *Policy
+	daemons []*simDaemon
+	desk    *Desk
+	heard   map[parley.FellowID]Follower
+	heardAt map[parley.FellowID]time.Duration
+	led     bool
+	newLead time.Duration
+	// together is when the leader told that all follow.
+	together map[parley.ServerID]time.Duration
+	late     int
+	runs     map[string]int
+	sent     int
+	refused  int
+	unclear  int
+	atWork   map[parley.ServerID][]simRun
+	ended    map[parley.ServerID]bool
+	emptied  bool
+}
+
+type simRun struct {
+	key string
+	end time.Duration
+}
+
+const simLost = 3 * time.Second
+
+func newSimDrain(t *testing.T, seed int64, fault simFault) *simDrain {
+	policy, err := Read([]byte(`{"version":1,"rules":[{"service":"*","notice":"500ms","finish":"10s","keyed":"deadline","least_share":0.3}],"lost_touch":"3s","cut_off":"stop"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &simDrain{
+		t: t, luck: rand.New(rand.NewSource(seed)), fault: fault, agreed: map[parley.ServerID]parley.Retirement{}, policy: policy, desk: NewDesk(),
+		heard: map[parley.FellowID]Follower{}, heardAt: map[parley.FellowID]time.Duration{}, led: true, together: map[parley.ServerID]time.Duration{},
+		runs: map[string]int{}, atWork: map[parley.ServerID][]simRun{}, ended: map[parley.ServerID]bool{},
+	}
+	for i := range 12 {
+		s.join(i)
+	}
+	return s
+}
+
+func (s *simDrain) join(i int) {
+	daemon := &simDaemon{id: parley.FellowID(fmt.Sprint("edge-", i)), permit: NewPermit(s.now)}
+	daemon.permit.Policy(s.policy)
+	s.daemons = append(s.daemons, daemon)
+}
+
+func (s *simDrain) inTouch(d *simDaemon) bool { return s.now >= d.cutTill && s.now >= d.downTil }
+
+// beat lets a daemon in touch tell how far it is and take what is agreed.
+func (s *simDrain) beat(d *simDaemon) {
+	if !s.inTouch(d) {
+		return
+	}
+	if s.led {
+		s.heard[d.id] = Follower{ID: d.id, Rev: d.rev, Here: true}
+		s.heardAt[d.id] = s.now
+		for _, order := range s.agreed {
+			d.permit.Take(s.now, order)
+		}
+		d.rev, d.fresh = s.rev, true
+		d.permit.Led(s.now)
+		d.beatAt = s.now
+		return
+	}
+	// Without a leader the fellows are asked.
+	if d.permit.Lonely(s.now) {
+		answers := 0
+		for _, other := range s.daemons {
+			if other != d && s.inTouch(other) {
+				answers++
+				for _, order := range other.permit.retired {
+					d.permit.Take(s.now, order)
+				}
+			}
+		}
+		if 2*(answers+1) > len(s.daemons) {
+			d.permit.Heard(s.now)
+		}
+	}
+}
+
+func (s *simDrain) lead() {
+	if !s.led {
+		if s.now >= s.newLead {
+			// A new leader has what is agreed, and has heard nobody yet.
+			s.led, s.desk, s.heard = true, NewDesk(), map[parley.FellowID]Follower{}
+		}
+		return
+	}
+	var followers []Follower
+	for _, d := range s.daemons {
+		follower, known := s.heard[d.id]
+		if !known {
+			follower = Follower{ID: d.id}
+		}
+		follower.Here = known && s.now-s.heardAt[d.id] < time.Second
+		followers = append(followers, follower)
+	}
+	var orders []parley.Retirement
+	for _, order := range s.agreed {
+		orders = append(orders, order)
+	}
+	stops, accounts := s.desk.Step(s.now, s.policy, orders, followers, func(parley.ServiceName) Stock {
+		useful := 8
+		for _, order := range s.agreed {
+			if order.Stopped > 0 {
+				useful--
+			}
+		}
+		return Stock{Listed: 8, Useful: useful}
+	})
+	if s.fault.hasty {
+		for id, order := range s.agreed {
+			if order.Stopped == 0 {
+				stops = append(stops, id)
+			}
+		}
+	}
+	for _, id := range stops {
+		s.rev++
+		order := s.agreed[id]
+		order.Stopped, order.Rev = s.rev, s.rev
+		s.agreed[id] = order
+	}
+	for _, account := range accounts {
+		id := parley.ServerID(account.Server)
+		if _, told := s.together[id]; !told && account.Phase == Together {
+			s.together[id] = s.now
+		}
+	}
+}
+
+// call is one client's keyed operation at one daemon.
+func (s *simDrain) call(n int) {
+	d := s.daemons[s.luck.Intn(len(s.daemons))]
+	if s.now < d.downTil || !d.fresh {
+		s.refused++
+		return
+	}
+	s.sent++
+	if d.permit.CutOff(s.now) && !s.fault.blind {
+		s.refused++
+		return
+	}
+	first := s.luck.Intn(8)
+	for i := range 8 {
+		id := parley.ServerID(fmt.Sprint("i-", (first+i)%8))
+		if !d.permit.Sends(s.now, id) && !s.fault.deaf {
+			continue
+		}
+		if s.ended[id] {
+			continue
+		}
+		if at, told := s.together[id]; told {
+			// Who was heard by the leader since then follows; who was not has its
+			// bound, with a second for the turn of its own duty.
+			if d.beatAt > at || s.now > at+simLost+time.Second {
+				s.late++
+			}
+		}
+		key := fmt.Sprint("k-", n)
+		s.runs[key]++
+		s.atWork[id] = append(s.atWork[id], simRun{key, s.now + time.Duration(s.luck.Intn(800))*time.Millisecond})
+		return
+	}
+	s.emptied = true
+	s.refused++
+}
+
+func (s *simDrain) play() {
+	const step = 50 * time.Millisecond
+	ops := 0
+	for s.now = 0; s.now < 40*time.Second; s.now += step {
+		switch s.luck.Intn(60) {
+		case 0:
+			d := s.daemons[s.luck.Intn(len(s.daemons))]
+			d.cutTill = s.now + time.Duration(s.luck.Intn(9000))*time.Millisecond
+		case 1:
+			d := s.daemons[s.luck.Intn(len(s.daemons))]
+			d.downTil = s.now + time.Second
+			d.permit, d.rev, d.fresh = NewPermit(s.now), 0, false
+			d.permit.Policy(s.policy)
+		case 2:
+			if s.led && s.luck.Intn(3) == 0 {
+				s.led, s.newLead = false, s.now+time.Duration(500+s.luck.Intn(4000))*time.Millisecond
+			}
+		case 3:
+			if len(s.daemons) < 16 {
+				s.join(len(s.daemons))
+			}
+		case 4:
+			if s.led && len(s.agreed) < 7 {
+				id := parley.ServerID(fmt.Sprint("i-", len(s.agreed)))
+				s.rev++
+				s.agreed[id] = parley.Retirement{Server: id, Service: "pay", By: ByOperator, Announced: s.rev, Rev: s.rev}
+			}
+		}
+		for _, d := range s.daemons {
+			if s.luck.Intn(5) == 0 {
+				s.beat(d)
+			}
+		}
+		s.lead()
+		for id, at := range s.together {
+			if s.now > at+10*time.Second && !s.ended[id] {
+				s.ended[id] = true
+				for _, run := range s.atWork[id] {
+					if run.end > s.now {
+						s.unclear++
+					}
+				}
+			}
+		}
+		for range 4 {
+			ops++
+			s.call(ops)
+		}
+	}
+}
+
+func TestABusyMorning(t *testing.T) {
+	stopped, useful := 0, 0
+	for seed := int64(1); seed <= 60; seed++ {
+		s := newSimDrain(t, seed, simFault{})
+		s.play()
+		if s.late > 0 {
+			t.Fatalf("seed %d: %d new callers were sent to a backend after all were said to follow", seed, s.late)
+		}
+		if s.unclear > 0 {
+			t.Fatalf("seed %d: %d requests were at work when their backend ended", seed, s.unclear)
+		}
+		for key, runs := range s.runs {
+			if runs != 1 {
+				t.Fatalf("seed %d: %s ran %d times", seed, key, runs)
+			}
+		}
+		if s.emptied {
+			t.Fatalf("seed %d: a daemon had no backend left though the least share stays", seed)
+		}
+		stopped += len(s.together)
+		useful += len(s.runs)
+	}
+	if stopped < 60 || useful < 60*1500 {
+		t.Fatalf("only %d orders came through and %d operations ran: the simulation shows nothing", stopped, useful)
+	}
+}
+
+func TestTheSimulationFindsPlantedFaults(t *testing.T) {
+	for name, fault := range map[string]simFault{"deaf": {deaf: true}, "blind": {blind: true}} {
+		found := false
+		for seed := int64(1); seed <= 60 && !found; seed++ {
+			s := newSimDrain(t, seed, fault)
+			s.play()
+			found = s.late > 0
+		}
+		if !found {
+			t.Errorf("%s: not found in 60 mornings", name)
+		}
+	}
+}
+
+// The least share holds an order back and says so; it goes on when there is
+// room again. The platform's own word is not held back.
+func TestTheLeastShareHoldsAnOrder(t *testing.T) {
+	policy, _ := Read([]byte(sound))
+	desk := NewDesk()
+	all := []Follower{{ID: "a", Rev: 9, Here: true}, {ID: "b", Rev: 9, Here: true}, {ID: "c"}}
+	orders := []parley.Retirement{{Server: "i", Service: "book", By: ByOperator, Announced: 9, Rev: 9}}
+	stock := Stock{Listed: 4, Useful: 2}
+	step := func(now time.Duration) (stops []parley.ServerID, account Account) {
+		stops, accounts := desk.Step(now, policy, orders, all, func(parley.ServiceName) Stock { return stock })
+		return stops, accounts[0]
+	}
+	if stops, account := step(0); len(stops) != 0 || account.Phase != Announced {
+		t.Fatalf("notice: %v %+v", stops, account)
+	}
+	if stops, account := step(2 * time.Second); len(stops) != 0 || account.Phase != Held || account.Why == "" {
+		t.Fatalf("least share: %v %+v", stops, account)
+	}
+	stock.Useful = 4
+	if stops, _ := step(3 * time.Second); len(stops) != 1 {
+		t.Fatal("there is room again, but the order waits")
+	}
+	stock.Useful, orders[0].By = 1, ByPlatform
+	if stops, _ := step(4 * time.Second); len(stops) != 1 {
+		t.Fatal("the platform's word was held back")
+	}
+	orders[0].By = ByOperator
+	stock.Useful = 4
+	all[1].Here, all[1].Rev = false, 0
+	if stops, account := step(5 * time.Second); len(stops) != 0 || account.Phase != Held {
+		t.Fatalf("one of three confirms, yet: %v %+v", stops, account)
+	}
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -38,6 +38,10 @@
 	ChangeSeen
 	EventsDropped
 	AsideChanged
+	RetireStands
+	MoveStands
+	CutOff
+	OrderTaken
 )
 
 // Texts is the catalogue.
@@ -64,6 +68,10 @@
 	ChangeSeen:      "change seen on this daemon",
 	EventsDropped:   "events not delivered to their receiver",
 	AsideChanged:    "backend set aside or let back",
+	RetireStands:    "order to retire a backend goes on",
+	MoveStands:      "target of the day's plan goes on or waits",
+	CutOff:          "cut off from leader and fellows, or back in touch",
+	OrderTaken:      "operator's order acknowledged",
 }
 
 // Log writes numbered events.
--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -72,6 +72,7 @@
 	owners  map[parley.ServiceName]parley.FellowID
 	tallies map[parley.FellowID][]parley.Tally
 
+	orders    orders
 	chronicle *chronicle.Chronicle
 }
 
@@ -84,7 +85,7 @@
 		clock: clock, roll: census.NewRoll(clock, census.RollBounds{Absent: vigil.StandIn, Struck: struckAfter}),
 		list: census.NewList(clock), cache: vigil.NewCache(clock, 3*p.ProbeInterval+time.Second),
 		book: allot.NewBook(0, leaseSpan), near: map[parley.SiteName][]parley.FellowID{}, owners: map[parley.ServiceName]parley.FellowID{}, tallies: map[parley.FellowID][]parley.Tally{}, view: canon.New().View(), sites: map[parley.SiteName]bool{},
-		changed: make(chan struct{}), stop: make(chan struct{}), chronicle: node.Chronicle,
+		changed: make(chan struct{}), stop: make(chan struct{}), chronicle: node.Chronicle, orders: newOrders(),
 	}
 	first := term == 1
 	forum.lender = allot.NewLender(0, leaseSpan, first)
@@ -119,6 +120,7 @@
 		if state.Rev != f.rev {
 			f.rev = state.Rev
 			view = state.Canon.View()
+			f.orders.take(state)
 		}
 		for site, evacuation := range state.Evacuations {
 			if evacuation.Active {
@@ -169,6 +171,7 @@
 		if f.cache.Tick(now) {
 			changed = true
 		}
+		f.carryOn(now)
 		f.cold = f.cache.Cold(now-time.Second, f.cold[:0])
 		if changed {
 			f.stir()
@@ -285,6 +288,7 @@
 	// leader all come at once, and each would wake all the others.
 	f.moved = f.moved || changed || joined
 	f.relay(ask)
+	f.orders.heard(f.now(), ask)
 	for !f.due(ask) {
 		changed := f.changed
 		f.mu.Unlock()
@@ -365,6 +369,19 @@
 	} else if last := len(news.Items) - 1; last >= 0 {
 		news.Rev, news.ItemAt = news.Items[last].Rev, news.Items[last].Path()
 	}
+	for _, document := range state.Documents {
+		if document.Rev >= seen.Rev {
+			news.Documents = append(news.Documents, document)
+		}
+	}
+	for _, retired := range state.Retired {
+		if retired.Rev >= seen.Rev {
+			news.Retired = append(news.Retired, retired)
+		}
+	}
+	if move := state.Move; move.Rev >= seen.Rev && move.Rev > 0 {
+		news.Move = &move
+	}
 	for _, evacuation := range state.Evacuations {
 		if evacuation.Rev >= seen.Rev {
 			news.Evacuations = append(news.Evacuations, parley.Evacuation{Site: parley.SiteName(evacuation.Site), Active: evacuation.Active, Rev: evacuation.Rev})
--- /dev/null
+++ b/internal/forum/orders.go
@@ -0,0 +1,282 @@
+// Orders is the part of the leader's desk that carries the drain policy and
+// the day's plan on: it gives their state machines what they look at, commits
+// the epochs that they ask for, one call at a time, and keeps the accounts for
+// operators. What is agreed reaches the fellows with the news, and their next
+// beats are the proof that they follow it.
+package forum
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"tinpin/internal/accord"
+	"tinpin/internal/dayplan"
+	"tinpin/internal/drain"
+	"tinpin/internal/events"
+	"tinpin/internal/order"
+	"tinpin/internal/parley"
+)
+
+const (
+	orderPatience = 800 * time.Millisecond
+	// rememberFellow is how long a fellow that is not heard any more counts when
+	// it is asked whether more than half follow.
+	rememberFellow = 2 * time.Minute
+)
+
+type followed struct {
+	rev   uint64
+	heard time.Duration
+}
+
+// orders is what the leader holds of both.
+type orders struct {
+	policy   *drain.Policy
+	plan     *dayplan.Plan
+	retired  map[parley.ServerID]parley.Retirement
+	move     parley.Move
+	desk     *drain.Desk
+	stepper  *dayplan.Stepper
+	follows  map[parley.FellowID]followed
+	fleet    int
+	burdens  map[parley.FellowID][]parley.Burden
+	busy     bool
+	retiring []drain.Account
+	moving   []dayplan.Account
+	wall     func() time.Time
+	said     map[string]string
+}
+
+func newOrders() (o orders) {
+	return orders{
+		retired: map[parley.ServerID]parley.Retirement{}, desk: drain.NewDesk(), stepper: &dayplan.Stepper{},
+		follows: map[parley.FellowID]followed{}, burdens: map[parley.FellowID][]parley.Burden{}, wall: time.Now, said: map[string]string{},
+	}
+}
+
+// take reads what is agreed; the caller holds the forum's lock.
+func (o *orders) take(state *accord.State) {
+	o.policy, o.plan = nil, nil
+	if document := state.Documents[order.DrainPolicy]; document.InForce() {
+		o.policy, _ = drain.Read([]byte(document.Body))
+	}
+	if document := state.Documents[order.DayPlan]; document.InForce() {
+		o.plan, _ = dayplan.Read([]byte(document.Body))
+	}
+	o.retired = make(map[parley.ServerID]parley.Retirement, len(state.Retired))
+	for id, retired := range state.Retired {
+		o.retired[id] = retired
+	}
+	o.move = state.Move
+}
+
+// heard notes how far a fellow follows, by its own beat.
+func (o *orders) heard(now time.Duration, ask parley.BeatAsk) {
+	rev := ask.Rev
+	if ask.ItemAt != parley.AllItems && rev > 0 {
+		rev--
+	}
+	o.follows[ask.ID] = followed{rev, now}
+	o.fleet = max(o.fleet, ask.Known)
+	if ask.Stopping {
+		delete(o.follows, ask.ID)
+	}
+	if len(ask.Burdens) > 0 || o.burdens[ask.ID] != nil {
+		o.burdens[ask.ID] = ask.Burdens
+	}
+}
+
+// followers lists the fellows that count; the caller holds the lock.
+func (f *Forum) followers(now time.Duration) (followers []drain.Follower) {
+	for id, held := range f.orders.follows {
+		if now-held.heard > rememberFellow {
+			delete(f.orders.follows, id)
+			delete(f.orders.burdens, id)
+			continue
+		}
+		followers = append(followers, drain.Follower{ID: id, Rev: held.rev, Here: f.roll.Here(id)})
+	}
+	// What older leaders knew of and this one has not heard yet.
+	for len(followers) < f.orders.fleet && now < rememberFellow {
+		followers = append(followers, drain.Follower{ID: parley.FellowID(fmt.Sprint("not heard yet ", len(followers)))})
+	}
+	return followers
+}
+
+// stock counts a service's backends.
+func (f *Forum) stock(service parley.ServiceName) (stock drain.Stock) {
+	f.eachBackend(service, func(_ parley.Server, useful bool) {
+		stock.Listed++
+		if useful {
+			stock.Useful++
+		}
+	})
+	return stock
+}
+
+func (f *Forum) eachBackend(service parley.ServiceName, visit func(server parley.Server, useful bool)) {
+	f.list.Servers.Each(func(id parley.ServerID, server parley.Server) {
+		if server.Service != service {
+			return
+		}
+		state, _ := f.cache.States.Get(id)
+		retired := f.orders.retired[id]
+		visit(server, !server.Draining && state.Health != parley.Down && !(retired.Stopped > 0 && !retired.Gone))
+	})
+}
+
+// regions is what a plan's target has in each region.
+func (f *Forum) regions(target dayplan.Target) (state dayplan.State) {
+	state.Stock = map[parley.RegionName]dayplan.Stock{}
+	services := []parley.ServiceName{target.Service}
+	if target.Host != "" {
+		services = nil
+		for _, named := range f.view.ServicesOf(target.Host) {
+			services = append(services, parley.ServiceName(named))
+		}
+	}
+	for _, service := range services {
+		f.eachBackend(service, func(server parley.Server, useful bool) {
+			region := parley.RegionName(f.props.Regions[string(server.Site)])
+			stock := state.Stock[region]
+			stock.Listed++
+			if useful && !f.sites[server.Site] {
+				stock.Useful++
+				stock.Slots += max(1, server.Slots)
+			}
+			state.Stock[region] = stock
+		})
+		for _, burdens := range f.orders.burdens {
+			for _, burden := range burdens {
+				if burden.Service == service {
+					state.AtWork += burden.AtWork
+				}
+			}
+		}
+	}
+	for site := range f.sites {
+		region := parley.RegionName(f.props.Regions[string(site)])
+		stock := state.Stock[region]
+		stock.Evacuated = stock.Useful == 0
+		state.Stock[region] = stock
+	}
+	return state
+}
+
+// carryOn looks at both and commits what they ask for; the caller holds the lock.
+func (f *Forum) carryOn(now time.Duration) {
+	o := &f.orders
+	var commands []accord.Command
+	if len(o.retired) > 0 {
+		list := make([]parley.Retirement, 0, len(o.retired))
+		for id, retired := range o.retired {
+			if _, listed := f.list.Servers.Get(id); !retired.Gone && !listed && f.list.Walked {
+				commands = append(commands, accord.Command{Kind: accord.CommandRestore, Site: string(id)})
+			}
+			list = append(list, retired)
+		}
+		var stops []parley.ServerID
+		stops, o.retiring = o.desk.Step(now, o.policy, list, f.followers(now), f.stock)
+		for _, id := range stops {
+			commands = append(commands, accord.Command{Kind: accord.CommandStop, Site: string(id)})
+		}
+		for _, account := range o.retiring {
+			f.say(events.RetireStands, account.Server, string(account.Phase), "why", account.Why)
+		}
+	} else {
+		o.retiring = nil
+	}
+	if o.policy != nil {
+		f.list.Servers.Each(func(id parley.ServerID, server parley.Server) {
+			if _, ordered := o.retired[id]; server.Draining && !ordered {
+				commands = append(commands, accord.Command{Kind: accord.CommandRetire, Site: string(id), Body: []byte(server.Service), Claim: accord.Claim{Holder: drain.ByPlatform}})
+			}
+		})
+	}
+	var move *parley.Move
+	o.moving = nil
+	if o.plan != nil && f.list.Walked {
+		move, o.moving = o.stepper.Step(now, o.wall(), o.plan, o.move, f.regions)
+		if move != nil {
+			body, err := json.Marshal(move)
+			if err == nil {
+				commands = append(commands, accord.Command{Kind: accord.CommandMove, Body: body})
+			}
+		}
+		for _, account := range o.moving {
+			f.say(events.MoveStands, account.Target, account.Waiting, "wanted", account.Wanted)
+		}
+	}
+	if len(commands) == 0 || o.busy {
+		return
+	}
+	o.busy = true
+	go func() {
+		answers := f.node.Wishes(commands, orderPatience)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.orders.busy = false
+		last := len(commands) - 1
+		if move != nil && answers[last].Clear && answers[last].Result.Problem == "" {
+			f.orders.stepper.Committed(f.now())
+		}
+	}()
+}
+
+// say logs how an order stands, once for each change.
+func (f *Forum) say(event events.Event, subject, stands string, pairs ...any) {
+	key := fmt.Sprint(int(event), subject)
+	if f.orders.said[key] == stands {
+		return
+	}
+	if len(f.orders.said) > 4096 {
+		f.orders.said = map[string]string{}
+	}
+	f.orders.said[key] = stands
+	f.log.Say(event, append([]any{"subject", subject, "stands", stands}, pairs...)...)
+}
+
+// CheckRetire tells why a backend may not be retired at all.
+func (f *Forum) CheckRetire(id parley.ServerID) (service parley.ServiceName, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	server, listed := f.list.Servers.Get(id)
+	if !listed {
+		return "", order.Class.New("backend %q is not on the platform's list", id)
+	}
+	if standing, ordered := f.orders.retired[id]; ordered && !standing.Gone {
+		return server.Service, nil
+	}
+	if stock := f.stock(server.Service); stock.Useful <= 1 {
+		return "", order.Class.New("backend %q is the last of service %q that is of use", id, server.Service)
+	}
+	return server.Service, nil
+}
+
+// CheckPlan tells what regions a plan names that no site is in.
+func (f *Forum) CheckPlan(body []byte) (err error) {
+	plan, err := dayplan.Read(body)
+	if err != nil {
+		return err
+	}
+	known := map[parley.RegionName]bool{}
+	for _, region := range f.props.Regions {
+		known[parley.RegionName(region)] = true
+	}
+	return plan.Check(func(string) bool { return true }, func(region parley.RegionName) bool { return known[region] })
+}
+
+// Retiring gives the standing of each order to retire.
+func (f *Forum) Retiring() (accounts []drain.Account) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]drain.Account{}, f.orders.retiring...)
+}
+
+// Moving gives the standing of each target of the plan.
+func (f *Forum) Moving() (accounts []dayplan.Account) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]dayplan.Account{}, f.orders.moving...)
+}
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -15,6 +15,7 @@
 	"github.com/ogen-go/ogen/ogenerrors"
 
 	"tinpin/api/oas"
+	"tinpin/internal/order"
 	"tinpin/internal/parley"
 	"tinpin/internal/problem"
 )
@@ -40,6 +41,12 @@
 	Evacuate func(ctx context.Context, site string, start bool) error
 	Resolve  func(ctx context.Context, host, region, site string) ([]string, time.Duration, error)
 	Ready    func() bool
+	// Order sets a document or, with check, only looks it over.
+	Order    func(ctx context.Context, kind order.Kind, body []byte, check bool) error
+	Withdraw func(ctx context.Context, kind order.Kind, version order.Version) error
+	Show     func(ctx context.Context, kind order.Kind) ([]byte, error)
+	// Retire orders that a backend be retired, or takes that back.
+	Retire func(ctx context.Context, id parley.ServerID, back bool) (phase string, err error)
 }
 
 type office struct{ duties Duties }
@@ -102,6 +109,56 @@
 	return &oas.Done{Status: "ready"}, nil
 }
 
+func (o office) OrderSet(ctx context.Context, body jx.Raw, params oas.OrderSetParams) (done *oas.Done, err error) {
+	if o.duties.Order == nil {
+		return nil, errElsewhere
+	}
+	check := params.Check.Or(false)
+	if err = o.duties.Order(ctx, order.Kind(params.Kind), body, check); err != nil {
+		return nil, err
+	}
+	if check {
+		return &oas.Done{Status: "good"}, nil
+	}
+	return &oas.Done{Status: "acknowledged"}, nil
+}
+
+func (o office) OrderWithdraw(ctx context.Context, params oas.OrderWithdrawParams) (done *oas.Done, err error) {
+	if o.duties.Withdraw == nil {
+		return nil, errElsewhere
+	}
+	if err = o.duties.Withdraw(ctx, order.Kind(params.Kind), order.Version(params.Version)); err != nil {
+		return nil, err
+	}
+	return &oas.Done{Status: "acknowledged"}, nil
+}
+
+func (o office) OrderShow(ctx context.Context, params oas.OrderShowParams) (text jx.Raw, err error) {
+	if o.duties.Show == nil {
+		return nil, errElsewhere
+	}
+	return o.duties.Show(ctx, order.Kind(params.Kind))
+}
+
+func (o office) retire(ctx context.Context, id string, back bool) (done *oas.Done, err error) {
+	if o.duties.Retire == nil {
+		return nil, errElsewhere
+	}
+	phase, err := o.duties.Retire(ctx, parley.ServerID(id), back)
+	if err != nil {
+		return nil, err
+	}
+	return &oas.Done{Status: phase}, nil
+}
+
+func (o office) BackendRetire(ctx context.Context, params oas.BackendRetireParams) (done *oas.Done, err error) {
+	return o.retire(ctx, params.Instance, false)
+}
+
+func (o office) BackendRestore(ctx context.Context, params oas.BackendRestoreParams) (done *oas.Done, err error) {
+	return o.retire(ctx, params.Instance, true)
+}
+
 func (o office) NewError(_ context.Context, err error) (other *oas.OtherStatusCodeWithHeaders) {
 	trouble := &Trouble{Kind: problem.Unclear, Text: err.Error()}
 	if !errors.As(err, &trouble) {
--- /dev/null
+++ b/internal/order/order.go
@@ -0,0 +1,97 @@
+// Package order holds what the drain policy and the day's plan have in common:
+// each is one written document with a version, agreed on by the cores, set
+// whole or not at all. The highest version holds; the same call sent again
+// changes nothing; an older version, or another text under the version that
+// holds, is refused. Faults of a document are gathered and told in one line.
+package order
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fastjson"
+	"github.com/zeebo/errs"
+)
+
+// Class marks refused orders.
+var Class = errs.Class("order")
+
+// Kind names one document.
+type Kind string
+
+// The documents.
+const (
+	DrainPolicy Kind = "drain-policy"
+	DayPlan     Kind = "day-plan"
+)
+
+// Kinds lists them.
+var Kinds = []Kind{DrainPolicy, DayPlan}
+
+// Known tells whether there is such a document.
+func (k Kind) Known() bool { return k == DrainPolicy || k == DayPlan }
+
+// Version orders the states of one document.
+type Version uint64
+
+// Document is one as it stands; withdrawn ones have no body.
+type Document struct {
+	Kind    Kind
+	Version Version
+	Body    string
+	Rev     uint64
+}
+
+// InForce tells that the document is set and not withdrawn.
+func (d Document) InForce() bool { return d.Body != "" }
+
+// Stamp is the version, with a mark where it was withdrawn.
+func (d Document) Stamp() (stamp string) {
+	stamp = strconv.FormatUint(uint64(d.Version), 10)
+	if !d.InForce() {
+		stamp += " withdrawn"
+	}
+	return stamp
+}
+
+// Next gives what stands after a call that sets or withdraws, and whether that
+// changes anything.
+func (d Document) Next(next Document) (after Document, changed bool, err error) {
+	switch {
+	case next.Version == d.Version && next.Body == d.Body:
+		return d, false, nil
+	case next.Version <= d.Version:
+		return d, false, Class.New("version %d is not above %d, which holds", next.Version, d.Version)
+	}
+	return next, true, nil
+}
+
+// Faults gathers what is wrong with a document.
+type Faults struct{ lines []string }
+
+// Add notes one fault.
+func (f *Faults) Add(where, why string) { f.lines = append(f.lines, where+" "+why) }
+
+// Err is one error that names every fault, or nil.
+func (f *Faults) Err() (err error) {
+	if len(f.lines) == 0 {
+		return nil
+	}
+	return Class.New("%s", strings.Join(f.lines, "; "))
+}
+
+// Open reads a body and its version; unknown fields are faults, since a
+// misspelt one would otherwise be obeyed in its absence.
+func Open(body []byte, into any) (err error) {
+	v, err := fastjson.ParseBytes(body)
+	if err != nil || v.Type() != fastjson.TypeObject {
+		return Class.New("the document must be a JSON object")
+	}
+	decoder := json.NewDecoder(strings.NewReader(string(body)))
+	decoder.DisallowUnknownFields()
+	if err = decoder.Decode(into); err != nil {
+		return Class.New("the document cannot be read: %s", strings.TrimPrefix(err.Error(), "json: "))
+	}
+	return nil
+}
--- a/internal/parley/words.go
+++ b/internal/parley/words.go
@@ -4,9 +4,11 @@
 package parley
 
 import (
+	"strconv"
 	"time"
 
 	"tinpin/internal/canon"
+	"tinpin/internal/order"
 )
 
 // FellowID is the name of a daemon, ServerID one life of a backend, SiteName a zone.
@@ -158,6 +160,57 @@
 	return "withdrawn"
 }
 
+// Retirement is an agreed order that a backend be sent no new callers: the
+// place in the log where it was announced, where the stop was committed (0
+// before that), and of its last change. Gone takes the order back.
+type Retirement struct {
+	Server    ServerID
+	Service   ServiceName
+	By        string
+	Announced uint64
+	Stopped   uint64
+	Rev       uint64
+	Gone      bool
+}
+
+// Stamp tells the order in a word.
+func (r Retirement) Stamp() (stamp string) {
+	switch {
+	case r.Gone:
+		return "taken back"
+	case r.Stopped > 0:
+		return "stopped"
+	}
+	return "announced"
+}
+
+// Move is an agreed step of the day's plan: of each target, which is a host or
+// a service, the weight of each region in thousandths. Its count only rises.
+type Move struct {
+	Version uint64
+	Count   uint64
+	// Instant is the plan's own time of the step, in Unix seconds.
+	Instant int64
+	Targets []MoveTarget
+	Rev     uint64
+}
+
+// Stamp is the step's count.
+func (m Move) Stamp() (stamp string) { return strconv.FormatUint(m.Count, 10) }
+
+// MoveTarget is one target's weights; exactly one of Host and Service is set.
+type MoveTarget struct {
+	Host    string
+	Service ServiceName
+	Weights []RegionWeight
+}
+
+// RegionWeight is one region's weight in thousandths.
+type RegionWeight struct {
+	Region RegionName
+	Weight int
+}
+
 // Core is an accord daemon as fellows know it.
 type Core struct{ Inner, Control string }
 
@@ -183,8 +236,12 @@
 type BeatAsk struct {
 	Fellow
 	Seen
+	// Known is how many fellows it knows of, itself included.
+	Known   int
 	Hold    time.Duration
 	Demands []Demand
+	// Burdens are told while a plan is in force.
+	Burdens []Burden
 	Tallies []Tally
 }
 
@@ -199,6 +256,12 @@
 	Done bool
 }
 
+// Burden is how many requests a fellow has at work at a service.
+type Burden struct {
+	Service ServiceName
+	AtWork  int
+}
+
 // Demand is how many requests a second of a tenant a fellow sees, and the
 // floor it holds.
 type Demand struct {
@@ -219,6 +282,9 @@
 	ItemAt      string
 	Items       []canon.Item
 	Evacuations []Evacuation
+	Documents   []order.Document
+	Retired     []Retirement
+	Move        *Move
 	// Part is a part of the whole list, for a fellow that lacks it; Servers and
 	// States are what changed since.
 	Part    *ListPart
@@ -282,6 +348,12 @@
 	Freed bool
 }
 
+// OrdersAsk asks a fellow for the orders it follows.
+type OrdersAsk struct{ From FellowID }
+
+// OrdersReply is what it follows; to get it is also to hear the fellow.
+type OrdersReply struct{ Retired []Retirement }
+
 // RecallAsk asks the holder of a key for its answer.
 type RecallAsk struct {
 	Key, Request string
--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -26,6 +26,9 @@
 func (d *Daemon) plan(request *Request, deadline string) (plan *Plan, kind problem.Kind, back time.Duration) {
 	scene := d.world.Scene()
 	now := d.clock.Now()
+	if d.world.Orders.CutOff() {
+		return nil, problem.CutOff, 0
+	}
 	if !scene.Started {
 		return nil, problem.NotStarted, 0
 	}
@@ -130,7 +133,7 @@
 			return verdict, plan.refusal(problem.TooLate)
 		}
 		scene := d.world.Scene()
-		server, any := d.world.choose(scene, plan.wanted(plan.Tried))
+		server, any := d.world.choose(scene, d.wanted(plan, plan.Tried))
 		if server == nil {
 			if any && d.mayWait(plan) {
 				time.Sleep(roomPause)
@@ -177,7 +180,7 @@
 func (d *Daemon) round(plan *Plan, server *Server, arrived *int) (round Round, answering *Server) {
 	wait := time.Duration(float64(plan.Way.Aim) * hedgePart)
 	if !plan.Way.Repeat.Repeatable() || plan.Rounds < 2 || wait <= 0 {
-		round = run(d.clock, server, plan.Request, plan.Till, d.rest(plan), plan.Way.Aim)
+		round = run(d.clock, server, plan.Request, d.sending(plan))
 		if round.Sent {
 			*arrived++
 		}
@@ -186,7 +189,7 @@
 	ends := make(chan finished, 2)
 	start := func(with *Server) {
 		go func() {
-			ends <- finished{run(d.clock, with, plan.Request, plan.Till, d.rest(plan), plan.Way.Aim), with}
+			ends <- finished{run(d.clock, with, plan.Request, d.sending(plan)), with}
 		}()
 	}
 	sentAt := d.clock.Now()
@@ -215,7 +218,7 @@
 				continue
 			}
 			tried := append([]parley.ServerID{server.ID}, plan.Tried...)
-			second, _ := d.world.choose(d.world.Scene(), plan.wanted(tried))
+			second, _ := d.world.choose(d.world.Scene(), d.wanted(plan, tried))
 			if second == nil || !d.budget.Spend(now, plan.Service) {
 				continue
 			}
@@ -225,13 +228,27 @@
 	}
 }
 
-// rest is how long the stream for a request may have rested: what may not run
-// twice is lost to a stream that its backend has forgotten.
-func (d *Daemon) rest(plan *Plan) (most time.Duration) {
-	if plan.Way.Repeat.Repeatable() {
-		return restFull
+// sending says how a plan's request goes out. What may not run twice is lost
+// to a stream that its backend has forgotten, so its stream must be fresh.
+func (d *Daemon) sending(plan *Plan) (sending Sending) {
+	sending = Sending{Till: plan.Till, Rest: restFull, Aim: plan.Way.Aim, Keyed: plan.Key != "", May: d.may}
+	if !plan.Way.Repeat.Repeatable() {
+		sending.Rest = d.props.RestOnce
+	}
+	return sending
+}
+
+// wanted says what backend a plan's next round is for.
+func (d *Daemon) wanted(plan *Plan, tried []parley.ServerID) (wanted Wanted) {
+	return Wanted{
+		Service: plan.Service, Homes: plan.Way.Homes, Tried: tried, Repeatable: plan.Way.Repeat.Repeatable(), Large: plan.Way.Repeat == canon.Download,
+		Weights: d.world.Orders.Weights(plan.Request.Host, plan.Service),
 	}
-	return d.props.RestOnce
+}
+
+// may tells whether a backend may still be sent a new caller.
+func (d *Daemon) may(server *Server) bool {
+	return !server.leaving() && d.world.Orders.Sends(d.clock.Now(), server.ID)
 }
 
 // letGo takes an answer that is not needed any more.
--- a/internal/passage/choose.go
+++ b/internal/passage/choose.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tinpin/internal/canon"
+	"tinpin/internal/dayplan"
 	"tinpin/internal/parley"
 )
 
@@ -19,6 +20,7 @@
 	handicapRegion = 260
 	handicapDoubt  = 500
 	handicapBeyond = 40
+	handicapAsleep = 5000
 	usualPace      = 120
 	// goodCost is how many calm times an answer may be expected to take before
 	// others than a daemon's own few are looked at.
@@ -40,6 +42,9 @@
 	Tried   []parley.ServerID
 	// Repeatable tells that the request may run twice.
 	Repeatable bool
+	// Weights are the day's plan, nil where there is none: regions that it gives
+	// nothing are asleep and used only where no other can serve.
+	Weights dayplan.Weights
 	// Large tells that the answer may be a large one.
 	Large bool
 }
@@ -101,6 +106,7 @@
 		c.weigh(server, true)
 	}
 	if c.best == nil || c.bestCost > goodCost*c.calm {
+		// A region that is asleep costs so much that this looks further too.
 		for _, server := range beyond {
 			c.weigh(server, false)
 		}
@@ -121,6 +127,10 @@
 	if c.scene.Evacuate[server.Site] || !allowed(c.wanted.Homes, server.Region) || c.wanted.tried(server.ID) {
 		return
 	}
+	if !w.Orders.Sends(now, server.ID) {
+		c.any = true
+		return
+	}
 	share := max(1, c.scene.Sharers)
 	if near {
 		share = min(share, max(1, c.scene.Share))
@@ -169,6 +179,10 @@
 		}
 		cost = 2*cost + 100
 	}
+	asleep := c.wanted.Weights != nil && c.wanted.Weights[server.Region] == 0
+	if asleep {
+		cost += handicapAsleep
+	}
 	switch {
 	case near:
 	case string(server.Site) == w.props.Site:
--- a/internal/passage/daemon.go
+++ b/internal/passage/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"tinpin/internal/canon"
+	"tinpin/internal/dayplan"
 	"tinpin/internal/events"
 	"tinpin/internal/keys"
 	"tinpin/internal/office"
@@ -71,17 +72,20 @@
 		d.offices = append(d.offices, server)
 	}
 	d.link.Taken = d.wake
-	d.link.Limits = d.limits
+	d.link.Limits, d.link.Burdens = d.limits, d.throttles.burdens
 	go d.link.Beat()
 	go d.link.Claims()
 	go d.link.Frees()
 	go d.link.Alone()
 	go d.prober.Run()
 	go d.tend()
+	go d.attend()
 	return d, nil
 }
 
-func (d *Daemon) isReady() bool { return d.ready.Load() && !d.stopping.Load() }
+func (d *Daemon) isReady() bool {
+	return d.ready.Load() && !d.stopping.Load() && !d.world.Orders.CutOff()
+}
 
 // fellow is this daemon as it tells of itself.
 func (d *Daemon) fellow() parley.Fellow {
@@ -104,6 +108,7 @@
 		d.wake()
 		if turn%4 == 0 {
 			d.world.Sweep()
+			d.world.Orders.stay(d.clock.Now(), d.world.Scene().Fellows)
 		}
 	}
 }
@@ -181,10 +186,27 @@
 	return nil
 }
 
+// planned gives the plan's weights for a host: its own, or those of the first
+// service under a plan that it goes to.
+func (d *Daemon) planned(scene *Scene, host string) (weights dayplan.Weights) {
+	if !d.world.Orders.planned() {
+		return nil
+	}
+	if weights = d.world.Orders.Weights(host, ""); weights != nil {
+		return weights
+	}
+	for _, service := range scene.View.ServicesOf(host) {
+		if weights = d.world.Orders.Weights("", parley.ServiceName(service)); weights != nil {
+			return weights
+		}
+	}
+	return nil
+}
+
 // resolve tells a client where to go.
 func (d *Daemon) resolve(_ context.Context, host, region, site string) (addresses []string, ttl time.Duration, err error) {
 	scene := d.world.Scene()
-	addresses = Directions(scene.Fellows, d.world.Absent(), scene.View.Homes(host), region, site)
+	addresses = Directions(scene.Fellows, d.world.Absent(), scene.View.Homes(host), d.planned(scene, host), region, site)
 	if len(addresses) == 0 && d.isReady() {
 		addresses = []string{d.props.Front}
 	}
--- a/internal/passage/directions.go
+++ b/internal/passage/directions.go
@@ -11,6 +11,7 @@
 	"sort"
 	"time"
 
+	"tinpin/internal/dayplan"
 	"tinpin/internal/parley"
 )
 
@@ -21,7 +22,13 @@
 )
 
 // Directions lists front addresses for a client of a site and a host's homes.
-func Directions(fellows map[parley.FellowID]parley.Fellow, absent map[parley.FellowID]bool, homes []string, region, site string) (addresses []string) {
+// Under a day's plan a region is drawn by the weights, within the homes, and
+// takes the place of the client's own; where nobody is ready there, the answer
+// is as it is without a plan.
+func Directions(fellows map[parley.FellowID]parley.Fellow, absent map[parley.FellowID]bool, homes []string, weights dayplan.Weights, region, site string) (addresses []string) {
+	if drawn := draw(fellows, absent, homes, weights, region); drawn != "" && drawn != region {
+		region, site = drawn, ""
+	}
 	away := !allowed(homes, parley.RegionName(region))
 	distance := func(fellow parley.Fellow) (far int) {
 		switch {
@@ -65,3 +72,36 @@
 	}
 	return addresses
 }
+
+// draw picks a region by weight, of those that are homes and have a daemon that
+// is ready; a client's own region is kept where it has its part.
+func draw(fellows map[parley.FellowID]parley.Fellow, absent map[parley.FellowID]bool, homes []string, weights dayplan.Weights, own string) (region string) {
+	if weights == nil {
+		return ""
+	}
+	serving := map[parley.RegionName]bool{}
+	for id, fellow := range fellows {
+		if fellow.Ready && !fellow.Stopping && fellow.Front != "" && !absent[id] {
+			serving[fellow.Region] = true
+		}
+	}
+	sum := 0
+	var names []parley.RegionName
+	for name, weight := range weights {
+		if weight > 0 && serving[name] && allowed(homes, name) {
+			names = append(names, name)
+			sum += weight
+		}
+	}
+	if sum == 0 {
+		return ""
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	at := rand.Intn(sum)
+	for _, name := range names {
+		if at -= weights[name]; at < 0 {
+			return string(name)
+		}
+	}
+	return own
+}
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -59,6 +59,8 @@
 	Taken func()
 	// Ended is closed when the daemon ends; all duties end with it.
 	Ended chan struct{}
+	// Burdens tells what is at work, while a plan is in force.
+	Burdens func() []parley.Burden
 	// Limits tells the demand of tenants, where there are any.
 	Limits *Limits
 
@@ -141,6 +143,10 @@
 		ask.Demands = l.Limits.Demands(tenants)
 	}
 	ask.Tallies = l.world.Tallies()
+	ask.Known = l.world.Orders.Known(asked)
+	if l.Burdens != nil && l.world.Orders.planned() {
+		ask.Burdens = l.Burdens()
+	}
 	news = new(parley.News)
 	if err = l.caller(target).Call("Forum.Beat", ask, news, limit); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/passage/orders.go
@@ -0,0 +1,277 @@
+// Orders is a daemon's side of retiring and of the day's plan: what is agreed
+// comes with the news and is kept here for the request path, which asks it only
+// about backends under an order and hosts or services under a plan. Where no
+// leader is heard, the fellows are asked, since some of them may know more.
+package passage
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tinpin/internal/canon"
+	"tinpin/internal/chronicle"
+	"tinpin/internal/dayplan"
+	"tinpin/internal/drain"
+	"tinpin/internal/events"
+	"tinpin/internal/order"
+	"tinpin/internal/parley"
+)
+
+const (
+	fleetMemory  = 2 * time.Minute
+	lonelyCall   = 300 * time.Millisecond
+	lonelyAtOnce = 16
+	lonelyTurn   = 250 * time.Millisecond
+)
+
+type metFellow struct {
+	parley.Fellow
+	at time.Duration
+}
+
+// Moves is the plan's step in force, by host and by service.
+type Moves struct {
+	Hosts    map[string]dayplan.Weights
+	Services map[parley.ServiceName]dayplan.Weights
+}
+
+// Orders of one daemon.
+type Orders struct {
+	mu     sync.Mutex
+	policy *drain.Policy
+	permit *drain.Permit
+	agreed map[parley.ServerID]parley.Retirement
+	kinds  map[order.Kind]order.Document
+	move   parley.Move
+	moves  atomic.Pointer[Moves]
+	fleet  map[parley.FellowID]metFellow
+	cutOff atomic.Bool
+	any    atomic.Bool
+}
+
+// NewOrders follows nothing yet.
+func NewOrders(now time.Duration) (orders *Orders) {
+	orders = &Orders{permit: drain.NewPermit(now), agreed: map[parley.ServerID]parley.Retirement{}, kinds: map[order.Kind]order.Document{}, fleet: map[parley.FellowID]metFellow{}}
+	orders.moves.Store(&Moves{})
+	return orders
+}
+
+// take takes news that were asked for at a time.
+func (o *Orders) take(now, asked time.Duration, news *parley.News, memory *chronicle.Chronicle, quiet bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.permit.Led(asked)
+	for _, change := range news.Fellows {
+		if !change.Gone {
+			o.fleet[change.ID] = metFellow{change.Fellow, now}
+		}
+	}
+	for _, document := range news.Documents {
+		if old := o.kinds[document.Kind]; document.Rev <= old.Rev {
+			continue
+		}
+		o.kinds[document.Kind] = document
+		memory.Note(chronicle.Document, string(document.Kind), "applied", document.Stamp(), document.Rev, quiet)
+		if document.Kind == order.DrainPolicy {
+			o.policy = nil
+			if document.InForce() {
+				o.policy, _ = drain.Read([]byte(document.Body))
+			}
+			o.permit.Policy(o.policy)
+		}
+	}
+	o.follow(now, news.Retired, memory, quiet)
+	if move := news.Move; move != nil && move.Rev > o.move.Rev {
+		o.move = *move
+		memory.Note(chronicle.Move, string(order.DayPlan), "applied", move.Stamp(), move.Rev, quiet)
+		o.moves.Store(movesOf(*move))
+	}
+}
+
+// follow takes agreed orders to retire; the caller holds the lock.
+func (o *Orders) follow(now time.Duration, retired []parley.Retirement, memory *chronicle.Chronicle, quiet bool) {
+	for _, order := range retired {
+		if order.Rev <= o.agreed[order.Server].Rev {
+			continue
+		}
+		o.agreed[order.Server] = order
+		o.permit.Take(now, order)
+		o.any.Store(true)
+		memory.Note(chronicle.Retirement, string(order.Server), "applied", order.Stamp(), order.Rev, quiet)
+	}
+}
+
+func movesOf(move parley.Move) (moves *Moves) {
+	moves = &Moves{Hosts: map[string]dayplan.Weights{}, Services: map[parley.ServiceName]dayplan.Weights{}}
+	for _, target := range move.Targets {
+		weights := dayplan.Weights{}
+		for _, part := range target.Weights {
+			weights[part.Region] = part.Weight
+		}
+		if target.Host != "" {
+			moves.Hosts[canon.PlainHost(target.Host)] = weights
+		} else {
+			moves.Services[target.Service] = weights
+		}
+	}
+	return moves
+}
+
+// Sends tells whether a new caller may be sent to a backend.
+func (o *Orders) Sends(now time.Duration, server parley.ServerID) (sends bool) {
+	if !o.any.Load() {
+		return true
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.permit.Sends(now, server)
+}
+
+// CutOff tells that nothing new may be taken.
+func (o *Orders) CutOff() bool { return o.cutOff.Load() }
+
+// Known counts the fellows met lately.
+func (o *Orders) Known(now time.Duration) (known int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, met := range o.fleet {
+		if now-met.at > fleetMemory {
+			delete(o.fleet, id)
+		}
+	}
+	return len(o.fleet)
+}
+
+// stay keeps fellows that still stand from being forgotten.
+func (o *Orders) stay(now time.Duration, fellows map[parley.FellowID]parley.Fellow) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, fellow := range fellows {
+		o.fleet[id] = metFellow{fellow, now}
+	}
+}
+
+// Weights gives the plan's weights for a request, nil where there are none.
+func (o *Orders) Weights(host string, service parley.ServiceName) (weights dayplan.Weights) {
+	moves := o.moves.Load()
+	if len(moves.Hosts) > 0 {
+		if weights = moves.Hosts[canon.PlainHost(host)]; weights != nil {
+			return weights
+		}
+	}
+	return moves.Services[service]
+}
+
+// planned tells that a plan is in force.
+func (o *Orders) planned() bool {
+	moves := o.moves.Load()
+	return len(moves.Hosts)+len(moves.Services) > 0
+}
+
+// Retired lists the orders this daemon follows, for a fellow that asks.
+func (o *Orders) Retired() (retired []parley.Retirement) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, order := range o.agreed {
+		retired = append(retired, order)
+	}
+	return retired
+}
+
+// stands tells how an order stands on this daemon.
+func (o *Orders) stands(kind, name string) (stamp string, rev uint64, has bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch kind {
+	case chronicle.Document:
+		document, known := o.kinds[order.Kind(name)]
+		return document.Stamp(), document.Rev, known
+	case chronicle.Retirement:
+		retired, known := o.agreed[parley.ServerID(name)]
+		return retired.Stamp(), retired.Rev, known
+	}
+	return o.move.Stamp(), o.move.Rev, o.move.Rev > 0
+}
+
+// attend is the duty that keeps to the policy by time: it asks fellows where
+// no leader is heard, notes when the daemon is cut off, and ends requests that
+// have had their time at a backend that was stopped.
+func (d *Daemon) attend() {
+	ticker := time.NewTicker(lonelyTurn)
+	defer ticker.Stop()
+	for asked := time.Duration(0); ; {
+		select {
+		case <-ticker.C:
+		case <-d.link.Ended:
+			return
+		}
+		now := d.clock.Now()
+		o := d.world.Orders
+		o.mu.Lock()
+		lonely, policy := o.permit.Lonely(now), o.policy
+		over := o.permit.Over(now, func(service parley.ServiceName) time.Duration { return time.Duration(policy.For(service).Finish) })
+		o.mu.Unlock()
+		for _, retired := range over {
+			d.world.end(retired.Server, policy.For(retired.Service).Keyed == drain.KeyedDeadline)
+		}
+		if policy == nil {
+			o.cutOff.Store(false)
+			continue
+		}
+		if lonely && now-asked > time.Duration(policy.LostTouch)/4 {
+			asked = now
+			d.askFellows(now)
+		}
+		o.mu.Lock()
+		cut := o.permit.CutOff(d.clock.Now())
+		o.mu.Unlock()
+		if o.cutOff.Swap(cut) != cut {
+			d.log.Say(events.CutOff, "cut_off", cut)
+		}
+	}
+}
+
+// askFellows asks all fellows what they follow; more than half of the fleet,
+// this daemon counted, must answer for it to have heard them.
+func (d *Daemon) askFellows(now time.Duration) {
+	o := d.world.Orders
+	o.mu.Lock()
+	var inners []string
+	for id, met := range o.fleet {
+		if string(id) != d.props.Name {
+			inners = append(inners, met.Inner)
+		}
+	}
+	o.mu.Unlock()
+	var asked sync.WaitGroup
+	var answers atomic.Int64
+	places := make(chan struct{}, lonelyAtOnce)
+	for _, inner := range inners {
+		asked.Add(1)
+		places <- struct{}{}
+		go func() {
+			defer func() { <-places; asked.Done() }()
+			var reply parley.OrdersReply
+			if err := d.link.caller(inner).Call("Fellow.Orders", parley.OrdersAsk{From: parley.FellowID(d.props.Name)}, &reply, lonelyCall); err != nil {
+				return
+			}
+			answers.Add(1)
+			o.mu.Lock()
+			o.follow(d.clock.Now(), reply.Retired, d.world.Chronicle, true)
+			o.mu.Unlock()
+		}()
+	}
+	asked.Wait()
+	if 2*(int(answers.Load())+1) > len(inners)+1 {
+		o.mu.Lock()
+		o.permit.Heard(now)
+		o.mu.Unlock()
+	}
+}
+
+// Orders tells a fellow what this daemon follows.
+func (k *Desk) Orders(_ parley.OrdersAsk, reply *parley.OrdersReply) (err error) {
+	reply.Retired = k.daemon.world.Orders.Retired()
+	return nil
+}
--- a/internal/passage/passage_test.go
+++ b/internal/passage/passage_test.go
@@ -258,7 +258,7 @@
 }
 
 func TestPromisesStandOnlyBehindWhatHasNotRun(t *testing.T) {
-	for kind := problem.BadRequest; kind <= problem.NotStarted; kind++ {
+	for kind := problem.BadRequest; kind <= problem.CutOff; kind++ {
 		answer := kind.Answer()
 		promise := answer.Status == 408 || answer.Status == 421 || answer.Status == 429 || answer.Status == 503
 		if answer.Status == 0 || promise && answer.Ran {
@@ -373,7 +373,7 @@
 		for _, id := range absent {
 			away[id] = true
 		}
-		if got := strings.Join(Directions(fellows, away, homes, region, site), " "); got != want {
+		if got := strings.Join(Directions(fellows, away, homes, nil, region, site), " "); got != want {
 			t.Errorf("%s %s: %q, want %q", region, site, got, want)
 		}
 	}
--- a/internal/passage/plan.go
+++ b/internal/passage/plan.go
@@ -29,11 +29,6 @@
 	dials   int
 }
 
-// wanted says what backend the next round is for.
-func (p *Plan) wanted(tried []parley.ServerID) (wanted Wanted) {
-	return Wanted{Service: p.Service, Homes: p.Way.Homes, Tried: tried, Repeatable: p.Way.Repeat.Repeatable(), Large: p.Way.Repeat == canon.Download}
-}
-
 // Step is what the plan wants next.
 type Step uint8
 
@@ -57,7 +52,7 @@
 		if p.dials++; p.dials > 4 {
 			return GiveProblem, p.refusal(problem.NoBackend)
 		}
-	case Turned:
+	case Turned, Withheld:
 	case Failed:
 		// The backend's own failure is its answer, unless another may be asked.
 		p.MayHaveRun = true
--- a/internal/passage/round.go
+++ b/internal/passage/round.go
@@ -64,6 +64,8 @@
 	Silent
 	// Failed: a whole answer that tells of the backend's own failure. It has run.
 	Failed
+	// Withheld: the backend was retired between the choice and the sending.
+	Withheld
 	// Forgotten: a stream that had rested was reset before any byte of an
 	// answer came. The backend had most likely forgotten it, but nothing proves
 	// that the request has not run.
@@ -161,31 +163,45 @@
 	Sent bool
 }
 
-// run sends the request to the server and reads the answer, over a stream that
-// has rested no longer than rest.
-func run(clock Clock, server *Server, request *Request, till, rest, aim time.Duration) (round Round) {
+// Sending says how a request goes out: until when, over a stream that has
+// rested how long at most, with what aim; and may tells, once a stream is at
+// hand, whether it may still go.
+type Sending struct {
+	Till, Rest, Aim time.Duration
+	Keyed           bool
+	May             func(server *Server) bool
+}
+
+// run sends the request to the server and reads the answer.
+func run(clock Clock, server *Server, request *Request, sending Sending) (round Round) {
 	begun := clock.Now()
 	server.begin(begun)
 	defer func() {
 		if round.Verdict.Rest == nil {
 			now := clock.Now()
-			server.end(now, now-begun, aim, round.Outcome)
+			server.end(now, now-begun, sending.Aim, round.Outcome)
 		}
 	}()
-	stream := server.take(begun, rest)
+	stream := server.take(begun, sending.Rest)
 	if stream == nil {
 		var err error
-		if stream, err = server.dial(till - begun); err != nil {
+		if stream, err = server.dial(sending.Till - begun); err != nil {
 			return Round{Outcome: NotSent}
 		}
 	}
 	now := clock.Now()
-	if now >= till {
+	if now >= sending.Till {
 		server.give(now, stream, 4*time.Second)
 		return Round{Outcome: NotSent}
 	}
-	_ = stream.conn.SetDeadline(time.Now().Add(till - now))
-	sent, err := stream.conn.Write(request.bytes(till-now, server.ID))
+	server.hold(stream, sending.Keyed)
+	defer server.release(stream)
+	if sending.May != nil && !sending.May(server) {
+		server.give(now, stream, 4*time.Second)
+		return Round{Outcome: Withheld}
+	}
+	_ = stream.conn.SetDeadline(time.Now().Add(sending.Till - now))
+	sent, err := stream.conn.Write(request.bytes(sending.Till-now, server.ID))
 	if err != nil && sent == 0 && !errors.Is(err, os.ErrDeadlineExceeded) {
 		server.drop(stream)
 		return Round{Outcome: NotSent}
--- a/internal/passage/server.go
+++ b/internal/passage/server.go
@@ -56,6 +56,8 @@
 	badAt    time.Duration
 	tally    parley.Tally
 	badTill  time.Duration
+	// active are the streams that carry a request now, with whether it is keyed.
+	active map[*Stream]bool
 }
 
 // toldLoad is what a backend said it had to do, and what was sent to it since.
@@ -66,7 +68,7 @@
 }
 
 func newServer(listed parley.Server, region parley.RegionName, asking string, habit *Habit) (server *Server) {
-	return &Server{Server: listed, Region: region, asking: asking, cold: allot.NewWindow(time.Second), habit: habit}
+	return &Server{Server: listed, Region: region, asking: asking, cold: allot.NewWindow(time.Second), habit: habit, active: map[*Stream]bool{}}
 }
 
 // Stream is one connection to a backend; it carries one request at a time.
@@ -150,6 +152,31 @@
 	s.mu.Unlock()
 }
 
+// hold and release bracket a stream's carrying of a request.
+func (s *Server) hold(stream *Stream, keyed bool) {
+	s.mu.Lock()
+	s.active[stream] = keyed
+	s.mu.Unlock()
+}
+
+func (s *Server) release(stream *Stream) {
+	s.mu.Lock()
+	delete(s.active, stream)
+	s.mu.Unlock()
+}
+
+// breakOff closes the streams that carry requests, but those with keyed ones
+// where they may go on.
+func (s *Server) breakOff(but bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for stream, keyed := range s.active {
+		if !keyed || !but {
+			_ = stream.conn.Close()
+		}
+	}
+}
+
 // give puts a stream back that is fit to be used again.
 func (s *Server) give(now time.Duration, stream *Stream, keep time.Duration) {
 	stream.restAt, stream.closeBy = now, now+min(keep, s.habit.Rest(now))
@@ -275,6 +302,13 @@
 	return now < s.outTill || now < s.coldTill || s.doubted(now)
 }
 
+// leaving tells that the platform has said so.
+func (s *Server) leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Draining
+}
+
 // silentSince tells that nothing was heard from the backend since a moment.
 func (s *Server) silentSince(moment time.Duration) bool {
 	s.mu.Lock()
--- a/internal/passage/throttle.go
+++ b/internal/passage/throttle.go
@@ -8,6 +8,8 @@
 import (
 	"sync"
 	"time"
+
+	"tinpin/internal/parley"
 )
 
 const (
@@ -96,3 +98,16 @@
 	}
 	return throttle
 }
+
+// burdens tells how many requests are at work at each service.
+func (t *throttles) burdens() (burdens []parley.Burden) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for service, throttle := range t.held {
+		throttle.mu.Lock()
+		atWork := throttle.atWork
+		throttle.mu.Unlock()
+		burdens = append(burdens, parley.Burden{Service: parley.ServiceName(service), AtWork: atWork})
+	}
+	return burdens
+}
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -46,6 +46,8 @@
 	clock Clock
 	// Chronicle remembers what became of changes here.
 	Chronicle *chronicle.Chronicle
+	// Orders are the drain policy, the retired backends and the day's plan.
+	Orders *Orders
 
 	mu       sync.Mutex
 	canon    *canon.Canon
@@ -69,7 +71,7 @@
 // NewWorld knows nothing yet.
 func NewWorld(p props.Props, log *events.Log, clock Clock) (world *World) {
 	world = &World{
-		props: p, log: log, clock: clock, Chronicle: chronicle.New(log), canon: canon.New(), servers: map[parley.ServerID]*Server{},
+		props: p, log: log, clock: clock, Chronicle: chronicle.New(log), Orders: NewOrders(clock.Now()), canon: canon.New(), servers: map[parley.ServerID]*Server{},
 		evac: map[parley.SiteName]parley.Evacuation{}, fellows: map[parley.FellowID]parley.Fellow{}, cores: map[string]bool{},
 		watch: vigil.NewWatch(parley.FellowID(p.Name), p.SendInterval, clock.Now()),
 		judge: vigil.NewJudge(), shares: allot.NewShares(), habits: map[parley.ServiceName]*Habit{},
@@ -122,6 +124,7 @@
 		w.fellows = map[parley.FellowID]parley.Fellow{}
 	}
 	w.seen.Term, w.seen.Epoch = news.Term, news.Epoch
+	w.Orders.take(now, asked, news, w.Chronicle, first)
 	back := map[parley.SiteName]bool{}
 	for _, evacuation := range news.Evacuations {
 		if old := w.evac[evacuation.Site]; old.Rev < evacuation.Rev {
@@ -352,6 +355,17 @@
 	}
 }
 
+// end breaks off what is still at work at a backend; with but, keyed requests
+// may go on.
+func (w *World) end(id parley.ServerID, but bool) {
+	w.mu.Lock()
+	server := w.servers[id]
+	w.mu.Unlock()
+	if server != nil {
+		server.breakOff(but)
+	}
+}
+
 // Known lists the inner addresses of cores this daemon has heard of.
 func (w *World) Known() (inners []string) {
 	w.mu.Lock()
@@ -422,6 +436,8 @@
 	case chronicle.Item:
 		item, known := w.canon.Find(name)
 		return item.Stamp(), item.Rev, known
+	case chronicle.Document, chronicle.Retirement, chronicle.Move:
+		return w.Orders.stands(kind, name)
 	case chronicle.Evacuation:
 		evacuation, known := w.evac[parley.SiteName(name)]
 		return evacuation.Stamp(), evacuation.Rev, known
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -32,6 +32,8 @@
 	NotReady
 	Unclear
 	NotStarted
+	BadOrder
+	CutOff
 )
 
 // Answer is what a problem looks like to the one who called.
@@ -66,6 +68,8 @@
 	NotLeader:    {Status: 307, Text: "ask the leader"},
 	NotReady:     {Status: 503, Text: "not ready"},
 	Unclear:      {Status: 503, Text: "no majority answered in time"},
+	BadOrder:     {Status: 422, Text: "refused order"},
+	CutOff:       {Status: 503, Text: "this daemon has lost touch with the others", RetryMS: 500},
 	NotStarted:   {Status: 503, Text: "the configuration is not known yet", RetryMS: 300},
 }
 
--- a/internal/stage/stage.go
+++ b/internal/stage/stage.go
@@ -35,9 +35,11 @@
 type Backend struct {
 	ID, Service, Address, Site string
 	Runs                       atomic.Int64
-	server                     *http.Server
-	mu                         sync.Mutex
-	keys                       map[string]int
+	// Work is how long it works on a request.
+	Work   atomic.Int64
+	server *http.Server
+	mu     sync.Mutex
+	keys   map[string]int
 }
 
 // Keys tells how often each operation key ran.
@@ -68,6 +70,7 @@
 		b.keys[key]++
 		b.mu.Unlock()
 	}
+	time.Sleep(time.Duration(b.Work.Load()))
 	w.Header().Set("Tinpin-Response-Signature", fmt.Sprintf("%s.%d", b.ID, run))
 	_, _ = fmt.Fprintf(w, "%s %s ran on %s (%d bytes)\n", r.Method, r.URL.Path, b.ID, len(body))
 }
@@ -103,6 +106,16 @@
 
 // Start sets up three cores, two edges and four backends of two services.
 func Start(folder string, hosts func(n int) string) (stage *Stage, err error) {
+	return start(folder, hosts, true)
+}
+
+// StartGateway sets up the same without a directory: clients come by an address
+// of the platform, which asks the edges whether they are ready.
+func StartGateway(folder string, hosts func(n int) string) (stage *Stage, err error) {
+	return start(folder, hosts, false)
+}
+
+func start(folder string, hosts func(n int) string, directory bool) (stage *Stage, err error) {
 	stage = &Stage{Cores: map[string]*council.Council{}, Edges: map[string]*passage.Daemon{}, hosts: hosts, draining: map[string]bool{}}
 	for i, service := range []string{"hello", "hello", "ledger", "ledger"} {
 		backend := &Backend{ID: fmt.Sprint("i-", i+1), Service: service, Address: hosts(40+i) + ":18080", Site: "harbour", keys: map[string]int{}}
@@ -123,6 +136,7 @@
 		p = props.Props{
 			Name: name, Address: hosts(n), Site: "harbour", Region: "coast", Regions: map[string]string{"harbour": "coast"}, FirstStart: true,
 			InnerLow: 17720, InnerHigh: 17735, Seeds: seeds, MemoryMB: 256, Descriptors: 1024, PlatformAddress: platform, PlatformRate: 100,
+			Sharers: 3, RestOnce: 250 * time.Millisecond, CPUShare: 1,
 			SendInterval: time.Second, ProbeInterval: 500 * time.Millisecond, ListInterval: 200 * time.Millisecond,
 		}
 		p.Bounds = props.Bounds{Grace: 2 * time.Second, KeyWindow: time.Minute, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 20, TTLMax: 5 * time.Second}
@@ -138,7 +152,10 @@
 	}
 	for i := 1; i <= 2; i++ {
 		p := common(fmt.Sprint("edge-", i), 20+i)
-		p.Front, p.Readiness, p.Direct = p.Address+":18161", p.Address+":18167", p.Address+":18164"
+		p.Front, p.Readiness = p.Address+":18161", p.Address+":18167"
+		if directory {
+			p.Direct = p.Address + ":18164"
+		}
 		stage.EdgeProps = append(stage.EdgeProps, p)
 		if stage.Edges[p.Name], err = passage.Start(p, events.Quiet()); err != nil {
 			return nil, err
@@ -255,18 +272,32 @@
 	return response.StatusCode, response.Header.Get("Tinpin-Response-Signature"), string(data), Class.Wrap(err)
 }
 
+// StopEdge has an edge end as a SIGTERM would; done is closed when it has.
+func (s *Stage) StopEdge(name string) (done chan struct{}) {
+	done = make(chan struct{})
+	edge := s.Edges[name]
+	delete(s.Edges, name)
+	go func() {
+		edge.Stop()
+		close(done)
+	}()
+	return done
+}
+
+// IsReady tells what an edge answers the platform.
+func (s *Stage) IsReady(edge int) (ready bool) {
+	response, err := http.Get("http://" + s.EdgeProps[edge].Readiness + "/-/readiness")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // Ready waits until both edges serve.
 func (s *Stage) Ready(ctx context.Context) (err error) {
-	for _, p := range s.EdgeProps {
-		err = Until(ctx, func() bool {
-			response, getErr := http.Get("http://" + p.Readiness + "/-/readiness")
-			if getErr != nil {
-				return false
-			}
-			_ = response.Body.Close()
-			return response.StatusCode == http.StatusOK
-		})
-		if err != nil {
+	for edge := range s.EdgeProps {
+		if err = Until(ctx, func() bool { return s.IsReady(edge) }); err != nil {
 			return err
 		}
 	}
