Let as many cores vote as the losses to be borne ask for

Ruled out: a damaged log (the survivor's was whole), lost streams. Twice the losses and one vote now, learners are promoted once they have the log; machine_losses is told by the settings.

--- a/internal/accord/node.go
+++ b/internal/accord/node.go
@@ -576,7 +576,7 @@
 	for _, joiner := range n.joiners {
 		waiting = append(waiting, joiner.member)
 	}
-	next, change := NextMembers(n.raft.Members(), n.self, waiting, n.raft.CaughtUp, func(id ID) bool {
+	next, change := NextMembers(n.raft.Members(), n.self, waiting, Voters(n.props.MachineLosses), n.raft.CaughtUp, func(id ID) bool {
 		ticks, known := n.raft.Heard(id)
 		return known && ticks > departTicks
 	})
@@ -600,11 +600,15 @@
 	}
 }
 
+// Voters is how many cores should vote, so that what was acknowledged outlasts
+// the loss of so many: of twice as many and one, a majority is left.
+func Voters(losses int) (wanted int) { return max(3, 2*losses+1) }
+
 // NextMembers is the next single change of membership, if one is due: a
 // newcomer becomes a learner; a wiped or departed voter goes when a caught-up
 // learner stands ready; a caught-up learner becomes a voter while there are
 // fewer than wanted.
-func NextMembers(members []Member, self Member, waiting []Member, caughtUp func(ID) bool, departed func(ID) bool) (next []Member, change bool) {
+func NextMembers(members []Member, self Member, waiting []Member, wanted int, caughtUp func(ID) bool, departed func(ID) bool) (next []Member, change bool) {
 	next = append([]Member(nil), members...)
 	for _, newcomer := range waiting {
 		if _, known := find(members, newcomer.ID); !known {
@@ -638,7 +642,7 @@
 			return append(next[:i], next[i+1:]...), true
 		}
 	}
-	if ready >= 0 && voters < 3 {
+	if ready >= 0 && voters < wanted {
 		next[ready].Voter = true
 		return next, true
 	}
--- a/internal/accord/sim_test.go
+++ b/internal/accord/sim_test.go
@@ -345,7 +345,7 @@
 	}
 	sort.Slice(waiting, func(i, j int) bool { return waiting[i].ID < waiting[j].ID })
 	core.waiting = map[ID]Member{}
-	next, change := NextMembers(core.raft.Members(), Member{ID: core.disk.id, Inner: host}, waiting, core.raft.CaughtUp, func(id ID) bool {
+	next, change := NextMembers(core.raft.Members(), Member{ID: core.disk.id, Inner: host}, waiting, Voters(1), core.raft.CaughtUp, func(id ID) bool {
 		ticks, known := core.raft.Heard(id)
 		return known && ticks > departTicks
 	})
@@ -634,3 +634,35 @@
 		t.Fatal("after a restart ages count from the restart")
 	}
 }
+
+// With three founders of five cores, two losses must leave a majority: the
+// other two are made voters as soon as they have the log.
+func TestAllThatTheLossesAskForVote(t *testing.T) {
+	var members []Member
+	for i, id := range []ID{"a", "b", "c", "d", "e", "f"} {
+		members = append(members, Member{ID: id, Inner: string(id), Voter: i < 3})
+	}
+	all, none := func(ID) bool { return true }, func(ID) bool { return false }
+	for _, c := range []struct{ losses, voters int }{{1, 3}, {2, 5}, {3, 6}} {
+		next := members
+		for {
+			after, change := NextMembers(next, members[0], nil, Voters(c.losses), all, none)
+			if !change {
+				break
+			}
+			next = after
+		}
+		voters := 0
+		for _, member := range next {
+			if member.Voter {
+				voters++
+			}
+		}
+		if voters != c.voters {
+			t.Errorf("%d losses: %d voters, want %d", c.losses, voters, c.voters)
+		}
+	}
+	if _, change := NextMembers(members, members[0], nil, Voters(2), none, none); change {
+		t.Error("a core that lacks the log was made a voter")
+	}
+}
--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -46,6 +46,8 @@
 	// RestOnce is how long a stream may have rested that carries a request
 	// which may not run twice.
 	RestOnce time.Duration
+	// MachineLosses is how many cores may be lost at once.
+	MachineLosses int
 	// CPUShare is the part of a processor this daemon has.
 	CPUShare float64
 }
@@ -196,6 +198,7 @@
 	props.ListInterval = r.span(v, "list_interval", time.Second)
 	props.Sharers = int(r.number(v, "backend_sharers", 1, 3))
 	props.RestOnce = r.span(v, "rest_once", 250*time.Millisecond)
+	props.MachineLosses = int(r.number(v, "machine_losses", 0, 1))
 	props.CPUShare = r.number(v, "cpu_share", 0.001, 1)
 	if props.ProbeInterval < 10*time.Millisecond {
 		r.fail("probe_interval", "must be 10ms or more")
