--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -33,7 +33,11 @@
 	longestHold = 2 * time.Second
 	// What a small link gets at once of the list and of the items.
 	partRows  = 64
-	itemsRoom = 24 << 10
+	itemsRoom = 160 << 10
+	// packedLeast is how many items are worth packing, partsMost how many parts
+	// are kept.
+	packedLeast = 8
+	partsMost   = 256
 	// tallyRows is how many rows of outcomes one beat may bring.
 	tallyRows = 256
 )
@@ -72,6 +76,10 @@
 	owners  map[parley.ServiceName]parley.FellowID
 	tallies map[parley.FellowID][]parley.Tally
 
+	// parts are the parts of the items as of the place partsOf.
+	partsOf uint64
+	parts   map[itemPlace]itemPart
+
 	orders    orders
 	chronicle *chronicle.Chronicle
 }
@@ -363,12 +371,18 @@
 
 // tellItems tells a part of what a fellow lacks.
 func (f *Forum) tellItems(state *accord.State, seen parley.Seen, news *parley.News) {
-	done := false
-	if news.Items, done = state.Canon.After(seen.Rev, seen.ItemAt, itemsRoom); done {
-		news.Rev, news.ItemAt = max(seen.Rev, state.Rev), parley.AllItems
-	} else if last := len(news.Items) - 1; last >= 0 {
-		news.Rev, news.ItemAt = news.Items[last].Rev, news.Items[last].Path()
+	if f.partsOf != state.Rev {
+		f.partsOf, f.parts = state.Rev, map[itemPlace]itemPart{}
+	}
+	from := itemPlace{seen.Rev, seen.ItemAt}
+	part, known := f.parts[from]
+	if !known {
+		part = partOf(state, from)
+		if len(f.parts) < partsMost {
+			f.parts[from] = part
+		}
 	}
+	news.Items, news.Packed, news.Rev, news.ItemAt = part.items, part.packed, part.next.rev, part.next.path
 	for _, document := range state.Documents {
 		if document.Rev >= seen.Rev {
 			news.Documents = append(news.Documents, document)
@@ -389,6 +403,35 @@
 	}
 }
 
+// itemPlace is a place among the items, itemPart what lies behind it; all
+// fellows that are as far are told the same part, made once.
+type itemPlace struct {
+	rev  uint64
+	path string
+}
+
+type itemPart struct {
+	items  []canon.Item
+	packed []byte
+	next   itemPlace
+}
+
+func partOf(state *accord.State, from itemPlace) (part itemPart) {
+	items, done := state.Canon.After(from.rev, from.path, itemsRoom)
+	part = itemPart{items: items, next: from}
+	if done {
+		part.next = itemPlace{max(from.rev, state.Rev), parley.AllItems}
+	} else if last := len(items) - 1; last >= 0 {
+		part.next = itemPlace{items[last].Rev, items[last].Path()}
+	}
+	if len(items) > packedLeast {
+		if packed, err := parley.Pack(items); err == nil {
+			part.items, part.packed = nil, packed
+		}
+	}
+	return part
+}
+
 // part gives the part of the list behind an id.
 func (f *Forum) part(now time.Duration, after parley.ServerID) (part *parley.ListPart) {
 	var ids []parley.ServerID
--- a/internal/forum/forum_test.go
+++ b/internal/forum/forum_test.go
@@ -94,7 +94,7 @@
 // of them is told the rest however the leader changes in between.
 func TestItemsComeInParts(t *testing.T) {
 	config := canon.New()
-	rows := make([]string, 1000)
+	rows := make([]string, 4000)
 	for i := range rows {
 		rows[i] = fmt.Sprintf(`["r-%d","h.example","/p%d/","idempotent","1s","s",%d]`, i, i, i+1)
 	}
@@ -106,13 +106,21 @@
 	state.Canon, state.Rev = config, 5
 	f := bare()
 	f.rev = 5
+	told := 0
 	known := map[string]bool{}
 	var seen parley.Seen
 	for parts := 0; f.owesItems(seen); parts++ {
 		var news parley.News
 		f.tellItems(state, seen, &news)
 		size := 0
-		for _, item := range news.Items {
+		items := news.Items
+		if news.Packed != nil {
+			var err error
+			if items, err = parley.Unpack(news.Packed); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, item := range items {
 			if known[item.Path()] {
 				t.Fatalf("%s is told twice", item.Path())
 			}
@@ -125,8 +133,12 @@
 			t.Fatalf("part %d has %d bytes", parts, size)
 		}
 		seen.Rev, seen.ItemAt = news.Rev, news.ItemAt
+		told++
+	}
+	if told < 3 || len(f.parts) != told {
+		t.Fatalf("told in %d parts, %d of them kept for the next fellow", told, len(f.parts))
 	}
-	if len(known) != 1001 || seen.Rev != 5 {
+	if len(known) != 4001 || seen.Rev != 5 {
 		t.Fatalf("%d items told, up to %d", len(known), seen.Rev)
 	}
 }
--- /dev/null
+++ b/internal/parley/pack.go
@@ -0,0 +1,39 @@
+// Pack makes many items small for the way: what a fellow lacks after a start or
+// a change of leader goes over links that are slow, and the same to all, so it
+// is packed once and told to each.
+package parley
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/gob"
+	"io"
+
+	"tinpin/internal/canon"
+)
+
+// unpackedMost bounds what a packed part may grow to.
+const unpackedMost = 64 << 20
+
+// Pack packs items.
+func Pack(items []canon.Item) (packed []byte, err error) {
+	var buffer bytes.Buffer
+	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	if err = gob.NewEncoder(writer).Encode(items); err != nil {
+		return nil, Class.Wrap(err)
+	}
+	if err = writer.Close(); err != nil {
+		return nil, Class.Wrap(err)
+	}
+	return buffer.Bytes(), nil
+}
+
+// Unpack gives the items back.
+func Unpack(packed []byte) (items []canon.Item, err error) {
+	reader := flate.NewReader(bytes.NewReader(packed))
+	err = gob.NewDecoder(io.LimitReader(reader, unpackedMost)).Decode(&items)
+	return items, Class.Wrap(err)
+}
--- /dev/null
+++ b/internal/parley/pack_test.go
@@ -0,0 +1,37 @@
+package parley
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tinpin/internal/canon"
+)
+
+func TestPackGivesBackWhatItTook(t *testing.T) {
+	var items []canon.Item
+	size := 0
+	for i := range 500 {
+		item := canon.Item{Set: canon.Routes, Name: fmt.Sprint("r-", i), Version: canon.Version(i), Rev: 7, Dropped: i%9 == 0}
+		for _, field := range []string{"hostname", "path_prefix", "route_type", "timeout"} {
+			item.Fields = append(item.Fields, canon.Field{Name: field, JSON: fmt.Sprintf("%q", fmt.Sprint(field, i))})
+			size += len(field) + 20
+		}
+		items = append(items, item)
+	}
+	packed, err := Pack(items)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(packed) > size/3 {
+		t.Errorf("%d bytes were packed into %d", size, len(packed))
+	}
+	back, err := Unpack(packed)
+	if diff := cmp.Diff(items, back); err != nil || diff != "" {
+		t.Fatal(err, diff)
+	}
+	if _, err = Unpack(packed[:len(packed)/2]); err == nil {
+		t.Error("half a part was taken")
+	}
+}
--- a/internal/parley/words.go
+++ b/internal/parley/words.go
@@ -272,14 +272,16 @@
 
 // News is the answer to a beat: all that changed since.
 type News struct {
-	Leader      bool
-	Hint        string
-	Cores       []Core
-	Term        Term
-	Epoch       Epoch
-	Full        bool
-	Rev         uint64
-	ItemAt      string
+	Leader bool
+	Hint   string
+	Cores  []Core
+	Term   Term
+	Epoch  Epoch
+	Full   bool
+	Rev    uint64
+	ItemAt string
+	// Packed are items that Pack made small; else they stand in Items.
+	Packed      []byte
 	Items       []canon.Item
 	Evacuations []Evacuation
 	Documents   []order.Document
--- a/internal/passage/choose.go
+++ b/internal/passage/choose.go
@@ -14,12 +14,14 @@
 	"tinpin/internal/parley"
 )
 
-// Handicaps in milliseconds of expected time.
+// Handicaps, in parts of what an answer takes when its service is calm, or in
+// milliseconds.
 const (
-	handicapSite   = 120
-	handicapRegion = 260
+	handicapBeyond = 0.1
+	handicapSite   = 0.3
+	handicapRegion = 0.5
+	handicapFar    = 100
 	handicapDoubt  = 500
-	handicapBeyond = 40
 	handicapAsleep = 5000
 	usualPace      = 120
 	// goodCost is how many calm times an answer may be expected to take before
@@ -186,11 +188,11 @@
 	switch {
 	case near:
 	case string(server.Site) == w.props.Site:
-		cost += handicapBeyond
+		cost += handicapBeyond * c.calm
 	case string(server.Region) == w.props.Region:
-		cost += handicapSite * c.border
+		cost += handicapSite * c.calm * c.border
 	default:
-		cost += handicapRegion * c.border
+		cost += (handicapFar + handicapRegion*c.calm) * c.border
 	}
 	cost *= 0.85 + 0.3*rand.Float64()
 	if aside && !down && !out && near && trialDue && c.wanted.Repeatable {
--- a/internal/passage/habit.go
+++ b/internal/passage/habit.go
@@ -20,6 +20,7 @@
 	habitShare = 0.05
 	// calmGrows is the part by which the calm time may grow in a second.
 	calmGrows  = 0.02
+	calmSpread = 1.25
 	habitFirst = 20
 )
 
@@ -83,7 +84,8 @@
 	if h.seen < habitFirst {
 		return unknown
 	}
-	return h.calm
+	// The least of many means is too little by about the spread of a mean.
+	return min(h.usual, h.calm*calmSpread)
 }
 
 // Forgot learns that a stream that had rested so long was forgotten.
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -105,6 +105,14 @@
 		w.shares.Take(asked, lease)
 	}
 	w.sharesMu.Unlock()
+	if news.Packed != nil {
+		items, err := parley.Unpack(news.Packed)
+		if err != nil {
+			w.log.Say(events.PropsRefused, "problem", err.Error())
+			return
+		}
+		news.Items = items
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.clock.Now()
