Keep parts of the items from the first beat on

Cause: the leader wrote into a map that was made only once the place in the log changed; before the first configuration it ended at the first beat (crash loop on all sites). A test tells an empty configuration.

--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -371,7 +371,7 @@
 
 // tellItems tells a part of what a fellow lacks.
 func (f *Forum) tellItems(state *accord.State, seen parley.Seen, news *parley.News) {
-	if f.partsOf != state.Rev {
+	if f.parts == nil || f.partsOf != state.Rev {
 		f.partsOf, f.parts = state.Rev, map[itemPlace]itemPart{}
 	}
 	from := itemPlace{seen.Rev, seen.ItemAt}
--- a/internal/forum/forum_test.go
+++ b/internal/forum/forum_test.go
@@ -142,3 +142,14 @@
 		t.Fatalf("%d items told, up to %d", len(known), seen.Rev)
 	}
 }
+
+// Before anything was configured there is nothing to tell, and the telling of
+// it must not end the leader.
+func TestNothingIsToldOfAnEmptyConfiguration(t *testing.T) {
+	f := bare()
+	var news parley.News
+	f.tellItems(accord.NewState(), parley.Seen{}, &news)
+	if news.Rev != 0 || news.ItemAt != parley.AllItems || len(news.Items) != 0 || news.Packed != nil {
+		t.Fatalf("%+v", news)
+	}
+}
