Level the burden between the sites of a region

Daemons tell what they have at work with their beats, the leader tells a pressed site which part to send where.

--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -80,6 +80,7 @@
 	partsOf uint64
 	parts   map[itemPlace]itemPart
 
+	balance   *vigil.Balance
 	orders    orders
 	chronicle *chronicle.Chronicle
 }
@@ -93,7 +94,7 @@
 		clock: clock, roll: census.NewRoll(clock, census.RollBounds{Absent: vigil.StandIn, Struck: struckAfter}),
 		list: census.NewList(clock), cache: vigil.NewCache(clock, 3*p.ProbeInterval+time.Second),
 		book: allot.NewBook(0, leaseSpan), near: map[parley.SiteName][]parley.FellowID{}, owners: map[parley.ServiceName]parley.FellowID{}, tallies: map[parley.FellowID][]parley.Tally{}, view: canon.New().View(), sites: map[parley.SiteName]bool{},
-		changed: make(chan struct{}), stop: make(chan struct{}), chronicle: node.Chronicle, orders: newOrders(),
+		changed: make(chan struct{}), stop: make(chan struct{}), chronicle: node.Chronicle, orders: newOrders(), balance: vigil.NewBalance(),
 	}
 	first := term == 1
 	forum.lender = allot.NewLender(0, leaseSpan, first)
@@ -180,6 +181,9 @@
 			changed = true
 		}
 		f.carryOn(now)
+		if f.balance.Due(now) {
+			f.level(now)
+		}
 		f.cold = f.cache.Cold(now-time.Second, f.cold[:0])
 		if changed {
 			f.stir()
@@ -491,6 +495,7 @@
 		news.Map = &shards
 	}
 	news.Absent = f.absent
+	news.Spills = f.balance.Spills(ask.Site)
 	news.Tallies = f.tallies[ask.ID]
 	delete(f.tallies, ask.ID)
 	news.Leases = f.lend(now, ask)
--- a/internal/forum/forum_test.go
+++ b/internal/forum/forum_test.go
@@ -18,6 +18,7 @@
 
 // bare is a forum without duties: what it is told in the test is all there is.
 func bare() (f *Forum) {
+	defer func() { f.balance, f.orders = vigil.NewBalance(), newOrders() }()
 	clock := &census.Clock{}
 	clock.Next()
 	return &Forum{
--- a/internal/forum/orders.go
+++ b/internal/forum/orders.go
@@ -16,6 +16,7 @@
 	"tinpin/internal/events"
 	"tinpin/internal/order"
 	"tinpin/internal/parley"
+	"tinpin/internal/vigil"
 )
 
 const (
@@ -280,3 +281,30 @@
 	defer f.mu.Unlock()
 	return append([]dayplan.Account{}, f.orders.moving...)
 }
+
+// level reckons what sites should send to each other.
+func (f *Forum) level(now time.Duration) {
+	atWork, slots := map[vigil.Place]float64{}, map[vigil.Place]float64{}
+	for id, burdens := range f.orders.burdens {
+		fellow, known := f.roll.Fellows.Get(id)
+		if !known || !f.roll.Here(id) {
+			continue
+		}
+		for _, burden := range burdens {
+			if burden.AtWork > 0 {
+				atWork[vigil.Place{Service: burden.Service, Site: fellow.Site}] += float64(burden.AtWork)
+			}
+		}
+	}
+	f.list.Servers.Each(func(id parley.ServerID, server parley.Server) {
+		place := vigil.Place{Service: server.Service, Site: server.Site}
+		state, _ := f.cache.States.Get(id)
+		retired := f.orders.retired[id]
+		if server.Draining || f.sites[server.Site] || state.Health == parley.Down || state.Aside != "" || f.cache.ColdUntil(id) > now || retired.Stopped > 0 && !retired.Gone {
+			slots[place] += 0
+			return
+		}
+		slots[place] += float64(max(1, server.Slots))
+	})
+	f.balance.Turn(now, atWork, slots, func(site parley.SiteName) string { return f.props.Regions[string(site)] })
+}
--- a/internal/parley/words.go
+++ b/internal/parley/words.go
@@ -240,7 +240,6 @@
 	Known   int
 	Hold    time.Duration
 	Demands []Demand
-	// Burdens are told while a plan is in force.
 	Burdens []Burden
 	Tallies []Tally
 }
@@ -262,6 +261,20 @@
 	AtWork  int
 }
 
+// Spill is what part of a service's requests, in thousandths, the site of the
+// fellow that is told should send to other sites, and how much to each.
+type Spill struct {
+	Service ServiceName
+	Away    int
+	To      []SiteWeight
+}
+
+// SiteWeight is one site's part in thousandths.
+type SiteWeight struct {
+	Site   SiteName
+	Weight int
+}
+
 // Demand is how many requests a second of a tenant a fellow sees, and the
 // floor it holds.
 type Demand struct {
@@ -296,6 +309,8 @@
 	Map     *ShardMap
 	Absent  []FellowID
 	Leases  []Lease
+	// Spills are what the fellow's site should send away.
+	Spills []Spill
 	// Tallies are the outcomes that others told of what this fellow owns.
 	Tallies []Tally
 }
--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -242,7 +242,7 @@
 func (d *Daemon) wanted(plan *Plan, tried []parley.ServerID) (wanted Wanted) {
 	return Wanted{
 		Service: plan.Service, Homes: plan.Way.Homes, Tried: tried, Repeatable: plan.Way.Repeat.Repeatable(), Large: plan.Way.Repeat == canon.Download,
-		Weights: d.world.Orders.Weights(plan.Request.Host, plan.Service),
+		Weights: d.world.Orders.Weights(plan.Request.Host, plan.Service), Away: d.world.Orders.Away(plan.Service),
 	}
 }
 
--- a/internal/passage/choose.go
+++ b/internal/passage/choose.go
@@ -19,6 +19,7 @@
 const (
 	handicapBeyond = 0.1
 	handicapSite   = 0.3
+	handicapAway   = 1.5
 	handicapRegion = 0.5
 	handicapFar    = 100
 	handicapDoubt  = 500
@@ -47,6 +48,9 @@
 	// Weights are the day's plan, nil where there is none: regions that it gives
 	// nothing are asleep and used only where no other can serve.
 	Weights dayplan.Weights
+	// Away is another site that this request should go to, so that sites of a
+	// region are pressed alike.
+	Away parley.SiteName
 	// Large tells that the answer may be a large one.
 	Large bool
 }
@@ -107,7 +111,7 @@
 	for _, server := range near {
 		c.weigh(server, true)
 	}
-	if c.best == nil || c.bestCost > goodCost*c.calm {
+	if wanted.Away != "" || c.best == nil || c.bestCost > goodCost*c.calm {
 		// A region that is asleep costs so much that this looks further too.
 		for _, server := range beyond {
 			c.weigh(server, false)
@@ -186,6 +190,10 @@
 		cost += handicapAsleep
 	}
 	switch {
+	case c.wanted.Away != "":
+		if server.Site != c.wanted.Away {
+			cost += handicapAway * c.calm
+		}
 	case near:
 	case string(server.Site) == w.props.Site:
 		cost += handicapBeyond * c.calm
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -59,7 +59,7 @@
 	Taken func()
 	// Ended is closed when the daemon ends; all duties end with it.
 	Ended chan struct{}
-	// Burdens tells what is at work, while a plan is in force.
+	// Burdens tells what is at work.
 	Burdens func() []parley.Burden
 	// Limits tells the demand of tenants, where there are any.
 	Limits *Limits
@@ -144,7 +144,7 @@
 	}
 	ask.Tallies = l.world.Tallies()
 	ask.Known = l.world.Orders.Known(asked)
-	if l.Burdens != nil && l.world.Orders.planned() {
+	if l.Burdens != nil {
 		ask.Burdens = l.Burdens()
 	}
 	news = new(parley.News)
--- a/internal/passage/orders.go
+++ b/internal/passage/orders.go
@@ -5,6 +5,7 @@
 package passage
 
 import (
+	"math/rand"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,7 @@
 	kinds  map[order.Kind]order.Document
 	move   parley.Move
 	moves  atomic.Pointer[Moves]
+	spills atomic.Pointer[map[parley.ServiceName]parley.Spill]
 	fleet  map[parley.FellowID]metFellow
 	cutOff atomic.Bool
 	any    atomic.Bool
@@ -54,6 +56,7 @@
 func NewOrders(now time.Duration) (orders *Orders) {
 	orders = &Orders{permit: drain.NewPermit(now), agreed: map[parley.ServerID]parley.Retirement{}, kinds: map[order.Kind]order.Document{}, fleet: map[parley.FellowID]metFellow{}}
 	orders.moves.Store(&Moves{})
+	orders.spills.Store(&map[parley.ServiceName]parley.Spill{})
 	return orders
 }
 
@@ -62,6 +65,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.permit.Led(asked)
+	spills := make(map[parley.ServiceName]parley.Spill, len(news.Spills))
+	for _, spill := range news.Spills {
+		spills[spill.Service] = spill
+	}
+	o.spills.Store(&spills)
 	for _, change := range news.Fellows {
 		if !change.Gone {
 			o.fleet[change.ID] = metFellow{change.Fellow, now}
@@ -163,6 +171,21 @@
 	return moves.Services[service]
 }
 
+// Away draws the site that a request should be sent to, empty for one's own.
+func (o *Orders) Away(service parley.ServiceName) (site parley.SiteName) {
+	spills := *o.spills.Load()
+	if len(spills) == 0 {
+		return ""
+	}
+	at := rand.Intn(1000)
+	for _, to := range spills[service].To {
+		if at -= to.Weight; at < 0 {
+			return to.Site
+		}
+	}
+	return ""
+}
+
 // planned tells that a plan is in force.
 func (o *Orders) planned() bool {
 	moves := o.moves.Load()
--- /dev/null
+++ b/internal/vigil/balance.go
@@ -0,0 +1,149 @@
+// Balance levels the burden between the sites of a region. Clients come to
+// sites unevenly, and a daemon sees neither what others have at work nor how
+// full the backends of another site are. So daemons tell what they have at
+// work, by service, with their beats; the leader sets it against the slots of
+// each site, and tells a site that is pressed well above its region which part
+// of its requests to keep and where to send the rest. It follows from what the
+// clients of each site bring, not from where it was served, so that daemons do
+// not run after each other.
+package vigil
+
+import (
+	"sort"
+	"time"
+
+	"tinpin/internal/parley"
+)
+
+const (
+	// balanceEasy is the part of its slots a site may always have at work,
+	// balanceOver how far it may be above its region before it sends some away.
+	balanceEasy = 0.45
+	balanceOver = 1.1
+	// balanceStep is how fast the reckoned demand follows, a turn.
+	balanceStep = 0.25
+	balanceTurn = 200 * time.Millisecond
+	// balanceLeast is the least part worth sending away, in thousandths.
+	balanceLeast = 40
+)
+
+// Place is one service at one site.
+type Place struct {
+	Service parley.ServiceName
+	Site    parley.SiteName
+}
+
+// Balance keeps the demand of each place.
+type Balance struct {
+	demand map[Place]float64
+	spills map[Place]parley.Spill
+	turned time.Duration
+}
+
+// NewBalance knows of no demand.
+func NewBalance() (balance *Balance) {
+	return &Balance{demand: map[Place]float64{}, spills: map[Place]parley.Spill{}, turned: -time.Hour}
+}
+
+// Due tells whether it is time for a turn.
+func (b *Balance) Due(now time.Duration) bool { return now-b.turned >= balanceTurn }
+
+// Turn takes what is at work by the site it came to, and the slots of use at
+// each, and reckons anew.
+func (b *Balance) Turn(now time.Duration, atWork, slots map[Place]float64, region func(parley.SiteName) string) {
+	b.turned = now
+	for place := range b.demand {
+		if _, told := atWork[place]; !told {
+			if b.demand[place] *= 1 - balanceStep; b.demand[place] < 0.05 {
+				delete(b.demand, place)
+			}
+		}
+	}
+	for place, work := range atWork {
+		b.demand[place] += (work - b.demand[place]) * balanceStep
+	}
+	type pool struct {
+		demand, slots float64
+		sites         []parley.SiteName
+	}
+	pools := map[parley.ServiceName]map[string]*pool{}
+	note := func(place Place, demand, slots float64) {
+		if pools[place.Service] == nil {
+			pools[place.Service] = map[string]*pool{}
+		}
+		in := region(place.Site)
+		if pools[place.Service][in] == nil {
+			pools[place.Service][in] = &pool{}
+		}
+		held := pools[place.Service][in]
+		held.demand += demand
+		held.slots += slots
+		for _, site := range held.sites {
+			if site == place.Site {
+				return
+			}
+		}
+		held.sites = append(held.sites, place.Site)
+	}
+	for place, demand := range b.demand {
+		note(place, demand, 0)
+	}
+	for place, count := range slots {
+		note(place, 0, count)
+	}
+	b.spills = map[Place]parley.Spill{}
+	for service, regions := range pools {
+		for _, held := range regions {
+			if held.slots > 0 {
+				b.level(service, held.sites, max(balanceEasy, balanceOver*held.demand/held.slots), slots)
+			}
+		}
+	}
+}
+
+// level reckons the spills of one service within one region, so that no site
+// has more than a part of its slots at work.
+func (b *Balance) level(service parley.ServiceName, sites []parley.SiteName, most float64, slots map[Place]float64) {
+	sort.Slice(sites, func(i, k int) bool { return sites[i] < sites[k] })
+	spare := map[parley.SiteName]float64{}
+	total := 0.0
+	for _, site := range sites {
+		place := Place{service, site}
+		if left := most*slots[place] - b.demand[place]; left > 0 {
+			spare[site] = left
+			total += left
+		}
+	}
+	if total <= 0 {
+		return
+	}
+	for _, site := range sites {
+		place := Place{service, site}
+		over := b.demand[place] - most*slots[place]
+		if over <= 0 || b.demand[place] <= 0 {
+			continue
+		}
+		spill := parley.Spill{Service: service}
+		for _, other := range sites {
+			part := int(1000 * over / b.demand[place] * spare[other] / total)
+			if part > 0 {
+				spill.To = append(spill.To, parley.SiteWeight{Site: other, Weight: part})
+				spill.Away += part
+			}
+		}
+		if spill.Away >= balanceLeast {
+			b.spills[place] = spill
+		}
+	}
+}
+
+// Spills lists what a site is to send away.
+func (b *Balance) Spills(site parley.SiteName) (spills []parley.Spill) {
+	for place, spill := range b.spills {
+		if place.Site == site {
+			spills = append(spills, spill)
+		}
+	}
+	sort.Slice(spills, func(i, k int) bool { return spills[i].Service < spills[k].Service })
+	return spills
+}
--- /dev/null
+++ b/internal/vigil/balance_test.go
@@ -0,0 +1,61 @@
+package vigil
+
+import (
+	"testing"
+	"time"
+
+	"tinpin/internal/parley"
+)
+
+func land(site parley.SiteName) string {
+	if site == "isle" {
+		return "sea"
+	}
+	return "land"
+}
+
+// A pressed site sends away what is above its region, to where there is room,
+// and never out of its region; places that are alike send nothing.
+func TestBalanceLevelsARegion(t *testing.T) {
+	balance := NewBalance()
+	slots := map[Place]float64{{"s", "a"}: 100, {"s", "b"}: 100, {"s", "c"}: 100, {"s", "isle"}: 1000}
+	turn := func(a, b, c float64) {
+		for i := range 40 {
+			balance.Turn(time.Duration(i)*balanceTurn, map[Place]float64{{"s", "a"}: a, {"s", "b"}: b, {"s", "c"}: c}, slots, land)
+		}
+	}
+	turn(50, 52, 48)
+	for _, site := range []parley.SiteName{"a", "b", "c", "isle"} {
+		if spills := balance.Spills(site); len(spills) != 0 {
+			t.Fatalf("%s: %+v though the sites are alike", site, spills)
+		}
+	}
+	turn(90, 50, 20)
+	spills := balance.Spills("a")
+	if len(spills) != 1 || len(balance.Spills("b"))+len(balance.Spills("c")) != 0 {
+		t.Fatalf("%+v", spills)
+	}
+	away := 0
+	for _, to := range spills[0].To {
+		if to.Site == "isle" || to.Site == "a" {
+			t.Errorf("sent to %s", to.Site)
+		}
+		away += to.Weight
+	}
+	if after := 90 * (1 - float64(away)/1000); away != spills[0].Away || after < 50 || after > 65 {
+		t.Errorf("%d thousandths are sent away, %.0f stay", away, after)
+	}
+	if to := spills[0].To; len(to) < 1 || to[len(to)-1].Site != "c" || to[len(to)-1].Weight < away*2/3 {
+		t.Errorf("most must go where most room is: %+v", to)
+	}
+	// A site whose backends are all gone sends everything.
+	slots[Place{"s", "a"}] = 0
+	turn(30, 30, 30)
+	if spills = balance.Spills("a"); len(spills) != 1 || spills[0].Away < 990 {
+		t.Errorf("%+v", spills)
+	}
+	turn(0, 0, 0)
+	if len(balance.Spills("a")) != 0 && balance.demand[Place{"s", "a"}] > 0.1 {
+		t.Error("demand that is gone still counts")
+	}
+}
