--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -240,10 +240,14 @@
 
 // wanted says what backend a plan's next round is for.
 func (d *Daemon) wanted(plan *Plan, tried []parley.ServerID) (wanted Wanted) {
-	return Wanted{
+	wanted = Wanted{
 		Service: plan.Service, Homes: plan.Way.Homes, Tried: tried, Repeatable: plan.Way.Repeat.Repeatable(), Large: plan.Way.Repeat == canon.Download,
-		Weights: d.world.Orders.Weights(plan.Request.Host, plan.Service), Away: d.world.Orders.Away(plan.Service),
+		Weights: d.world.Orders.Weights(plan.Request.Host, plan.Service),
 	}
+	if !wanted.Large {
+		wanted.Away = d.world.Orders.Away(plan.Service)
+	}
+	return wanted
 }
 
 // may tells whether a backend may still be sent a new caller.
--- a/internal/passage/choose.go
+++ b/internal/passage/choose.go
@@ -18,7 +18,7 @@
 // milliseconds.
 const (
 	handicapBeyond = 0.1
-	handicapSite   = 0.3
+	handicapSite   = 0.5
 	handicapAway   = 1.5
 	handicapRegion = 0.5
 	handicapFar    = 100
--- a/internal/passage/door.go
+++ b/internal/passage/door.go
@@ -27,6 +27,10 @@
 	pipeline   = 16
 	lingerSpan = time.Second
 	bodyPause  = 10 * time.Second
+	idleGlance = 3 * time.Millisecond
+	// idleMargin is how much sooner than the daemon clients are told to let an
+	// idle stream go.
+	idleMargin = 2 * time.Second
 )
 
 // Door takes in clients.
@@ -171,7 +175,14 @@
 		limits := d.view().Limits
 		source.most = 0
 		_ = conn.SetReadDeadline(time.Now().Add(limits.IdleTime))
-		if _, err := in.Peek(1); err != nil || broken.Load() || closing.Load() {
+		_, err := in.Peek(1)
+		if err != nil && isTimeout(err) {
+			// A busy daemon may come to this late: what has arrived meanwhile is
+			// a request, not silence.
+			_ = conn.SetReadDeadline(time.Now().Add(idleGlance))
+			_, err = in.Peek(1)
+		}
+		if err != nil || broken.Load() || closing.Load() {
 			if err != nil && !errors.Is(err, io.EOF) && !isTimeout(err) {
 				broken.Store(true)
 			}
@@ -310,6 +321,7 @@
 		if verdict.Close {
 			closing.Store(true)
 		}
+		verdict.Keep = d.view().Limits.IdleTime - idleMargin
 		_ = conn.SetWriteDeadline(time.Now().Add(30 * time.Second))
 		var whole bool
 		buffer, whole = verdict.Write(conn, buffer, t.old)
--- a/internal/passage/verdict.go
+++ b/internal/passage/verdict.go
@@ -29,6 +29,8 @@
 	NoBody bool
 	// Close ends the stream behind the answer.
 	Close bool
+	// Keep is how long the client may leave the stream idle, where it is told.
+	Keep time.Duration
 	// Chunked sends Rest in chunks, its length not being known.
 	Chunked bool
 }
@@ -82,11 +84,17 @@
 		to = strconv.AppendInt(to, v.Length, 10)
 		to = append(to, "\r\n"...)
 	}
-	if v.Close {
+	switch {
+	case v.Close:
 		to = append(to, "Connection: close\r\n"...)
-	} else if old {
+	case old:
 		to = append(to, "Connection: keep-alive\r\n"...)
 	}
+	if !v.Close && v.Keep >= time.Second {
+		to = append(to, "Keep-Alive: timeout="...)
+		to = strconv.AppendInt(to, int64(v.Keep/time.Second), 10)
+		to = append(to, "\r\n"...)
+	}
 	return append(to, "\r\n"...)
 }
 
--- a/internal/vigil/balance.go
+++ b/internal/vigil/balance.go
@@ -18,7 +18,7 @@
 const (
 	// balanceEasy is the part of its slots a site may always have at work,
 	// balanceOver how far it may be above its region before it sends some away.
-	balanceEasy = 0.45
+	balanceEasy = 0.6
 	balanceOver = 1.1
 	// balanceStep is how fast the reckoned demand follows, a turn.
 	balanceStep = 0.25
