Share small services among more daemons; lateness sets nobody aside

And late answers counted as bad: under a burst the pressed backends were set aside and the rest pressed more.

--- a/internal/passage/choose.go
+++ b/internal/passage/choose.go
@@ -31,7 +31,7 @@
 	// largeBorder makes borders dearer for large answers.
 	largeBorder = 3
 	// badWeight is how much what failed here lately weighs.
-	badWeight = 6
+	badWeight = 3
 	// trialPart of the requests that may be repeated try a backend that is set
 	// aside, each at most once in trialPause.
 	trialPart  = 0.1
@@ -139,7 +139,7 @@
 	}
 	share := max(1, c.scene.Sharers)
 	if near {
-		share = min(share, max(1, c.scene.Share))
+		share = min(share, max(1, c.scene.Share[c.wanted.Service]))
 	}
 	server.mu.Lock()
 	if server.Draining {
--- a/internal/passage/round.go
+++ b/internal/passage/round.go
@@ -164,12 +164,12 @@
 }
 
 // Sending says how a request goes out: until when, over a stream that has
-// rested how long at most, with what aim; and may tells, once a stream is at
-// hand, whether it may still go.
+// rested how long at most; and may tells, once a stream is at hand, whether it
+// may still go.
 type Sending struct {
-	Till, Rest, Aim time.Duration
-	Keyed           bool
-	May             func(server *Server) bool
+	Till, Rest time.Duration
+	Keyed      bool
+	May        func(server *Server) bool
 }
 
 // run sends the request to the server and reads the answer.
@@ -179,7 +179,7 @@
 	defer func() {
 		if round.Verdict.Rest == nil {
 			now := clock.Now()
-			server.end(now, now-begun, sending.Aim, round.Outcome)
+			server.end(now, now-begun, round.Outcome)
 		}
 	}()
 	stream := server.take(begun, sending.Rest)
@@ -306,7 +306,7 @@
 			verdict.Finish = func(good bool) {
 				settle(good)
 				now := clock.Now()
-				server.end(now, now-begun, 0, outcome)
+				server.end(now, now-begun, outcome)
 			}
 			return Round{Outcome: outcome, Verdict: verdict}
 		}
--- a/internal/passage/server.go
+++ b/internal/passage/server.go
@@ -224,13 +224,13 @@
 	s.mu.Unlock()
 }
 
-func (s *Server) end(now, took, aim time.Duration, outcome Outcome) {
+func (s *Server) end(now, took time.Duration, outcome Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.burden--
 	switch outcome {
 	case Whole:
-		s.count(now, aim <= 0 || took <= aim)
+		s.count(now, true)
 	case Failed, Broken, NotSent, Silent:
 		s.count(now, false)
 		s.bad = s.badness(now)
--- a/internal/passage/subset.go
+++ b/internal/passage/subset.go
@@ -16,10 +16,13 @@
 type Subset struct {
 	self    parley.FellowID
 	fellows []parley.FellowID
-	// Sharers is how many daemons use each backend first.
-	Sharers int
+	sharers int
 }
 
+// subsetLeast is how many backends of a service a daemon should have to choose
+// among; where a site has few, more daemons share each.
+const subsetLeast = 6
+
 // NewSubset reckons with the ready daemons of self's site, self among them.
 func NewSubset(self parley.FellowID, site parley.SiteName, fellows map[parley.FellowID]parley.Fellow, sharers int) (subset Subset) {
 	subset = Subset{self: self, fellows: []parley.FellowID{self}}
@@ -28,13 +31,20 @@
 			subset.fellows = append(subset.fellows, id)
 		}
 	}
-	subset.Sharers = min(max(1, sharers), len(subset.fellows))
+	subset.sharers = max(1, sharers)
 	return subset
 }
 
-// Holds tells whether self is among those that use the backend first.
-func (s Subset) Holds(server parley.ServerID) (holds bool) {
-	if s.Sharers == len(s.fellows) {
+// Sharers is how many daemons use each backend of a service first that has so
+// many at the site.
+func (s Subset) Sharers(backends int) (sharers int) {
+	least := (subsetLeast*len(s.fellows) + max(1, backends) - 1) / max(1, backends)
+	return min(max(s.sharers, least), len(s.fellows))
+}
+
+// Holds tells whether self is among so many that use the backend first.
+func (s Subset) Holds(server parley.ServerID, sharers int) (holds bool) {
+	if sharers >= len(s.fellows) {
 		return true
 	}
 	own := vigil.Rank(string(s.self), string(server))
@@ -44,7 +54,7 @@
 			continue
 		}
 		if rank := vigil.Rank(string(id), string(server)); rank < own || rank == own && id < s.self {
-			if before++; before >= s.Sharers {
+			if before++; before >= sharers {
 				return false
 			}
 		}
