--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -18,6 +18,10 @@
 // hedgePart is the part of the aim after which a silent backend is doubted.
 const hedgePart = 0.55
 
+// hedgeTimes is how many times the usual of now it must have taken as well: a
+// service that is pressed is only pressed more by asking twice.
+const hedgeTimes = 2.2
+
 // roomPause is how often a request that found all backends full looks again;
 // it does so no longer than a refusal still lets the client come back in time.
 const roomPause = 12 * time.Millisecond
@@ -178,7 +182,7 @@
 // to any other, a second one is asked beside it and the first whole answer is
 // taken; what comes later is let go.
 func (d *Daemon) round(plan *Plan, server *Server, arrived *int) (round Round, answering *Server) {
-	wait := time.Duration(float64(plan.Way.Aim) * hedgePart)
+	wait := max(time.Duration(float64(plan.Way.Aim)*hedgePart), time.Duration(hedgeTimes*server.habit.Usual())*time.Millisecond)
 	if !plan.Way.Repeat.Repeatable() || plan.Rounds < 2 || wait <= 0 {
 		round = run(d.clock, server, plan.Request, d.sending(plan))
 		if round.Sent {
--- a/internal/passage/habit.go
+++ b/internal/passage/habit.go
@@ -88,6 +88,13 @@
 	return min(h.usual, h.calm*calmSpread)
 }
 
+// Usual is how many milliseconds an answer takes now.
+func (h *Habit) Usual() (usual float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.usual
+}
+
 // Forgot learns that a stream that had rested so long was forgotten.
 func (h *Habit) Forgot(now, rested time.Duration) {
 	h.mu.Lock()
