--- a/cmd/tinpin/main.go
+++ b/cmd/tinpin/main.go
@@ -23,7 +23,7 @@
 )
 
 // Version is what "tinpin version" says.
-const Version = "0.1.0"
+const Version = "0.2.0"
 
 const usage = `tinpin, a global load balancer
 
