One budget of descriptors at the door; a list not read yet refuses no order

Streams beyond the budget: the one idle longest goes, else the new one is refused with 503 and Retry-After. A new leader that has not read the platform's list answers that it is unclear, where it refused the order as of an unknown backend; the prober reads a backend's state under its lock (both found under the race detector).

--- a/internal/council/orders.go
+++ b/internal/council/orders.go
@@ -136,6 +136,10 @@
 	if err != nil {
 		return "", err
 	}
+	if !open.Walked() {
+		// A new leader has not read the list yet: that is no reason to refuse.
+		return "", &office.Trouble{Kind: problem.Unclear, Text: "the platform's list is not read yet"}
+	}
 	service, err := open.CheckRetire(id)
 	if err != nil {
 		return "", refused(err)
--- a/internal/forum/orders.go
+++ b/internal/forum/orders.go
@@ -238,6 +238,13 @@
 	f.log.Say(event, append([]any{"subject", subject, "stands", stands}, pairs...)...)
 }
 
+// Walked tells that the platform's list is known whole.
+func (f *Forum) Walked() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.list.Walked
+}
+
 // CheckRetire tells why a backend may not be retired at all.
 func (f *Forum) CheckRetire(id parley.ServerID) (service parley.ServiceName, err error) {
 	f.mu.Lock()
--- a/internal/passage/door.go
+++ b/internal/passage/door.go
@@ -25,6 +25,7 @@
 
 const (
 	pipeline   = 16
+	refusals   = 48
 	lingerSpan = time.Second
 	bodyPause  = 10 * time.Second
 	idleGlance = 3 * time.Millisecond
@@ -44,12 +45,23 @@
 	room     atomic.Int64
 	listener net.Listener
 	mu       sync.Mutex
-	streams  map[net.Conn]bool
+	visits   map[*visit]time.Time
+}
+
+// visit is one client's stream; its time in the door's table is since when it
+// has been idle, or nothing while it is not.
+type visit struct {
+	conn            net.Conn
+	pending         sync.WaitGroup
+	working         atomic.Int64
+	broken, closing atomic.Bool
+	// refuse has every request refused, for want of descriptors.
+	refuse bool
 }
 
 // NewDoor answers with a function; most streams and bytes of bodies at once.
 func NewDoor(answer func(*Request, string) Verdict, view func() *canon.View, most int, room int64) (door *Door) {
-	door = &Door{answer: answer, view: view, most: int64(most), streams: map[net.Conn]bool{}}
+	door = &Door{answer: answer, view: view, most: int64(most), visits: map[*visit]time.Time{}}
 	door.room.Store(room)
 	return door
 }
@@ -74,12 +86,42 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		if d.open.Add(1) > d.most {
+		open := d.open.Add(1)
+		if open > d.most+refusals {
 			d.open.Add(-1)
 			_ = conn.Close()
 			continue
 		}
-		go d.welcome(conn)
+		// Beyond the budget of descriptors the stream that has been idle longest
+		// goes; where none is idle, the new one gets a refusal it can trust.
+		go d.welcome(conn, open > d.most && !d.letIdleGo())
+	}
+}
+
+// letIdleGo ends the stream that has been idle longest.
+func (d *Door) letIdleGo() (gone bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var oldest *visit
+	for v, since := range d.visits {
+		if !since.IsZero() && v.working.Load() == 0 && (oldest == nil || since.Before(d.visits[oldest])) {
+			oldest = v
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	d.visits[oldest] = time.Time{}
+	_ = oldest.conn.SetReadDeadline(time.Now())
+	return true
+}
+
+// idle notes that a stream waits for a request, or does not any more.
+func (d *Door) idle(v *visit, idle bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.visits[v] = (time.Time{}); idle {
+		d.visits[v] = time.Now()
 	}
 }
 
@@ -96,8 +138,8 @@
 func (d *Door) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for conn := range d.streams {
-		_ = conn.Close()
+	for v := range d.visits {
+		_ = v.conn.Close()
 	}
 }
 
@@ -127,25 +169,22 @@
 }
 
 // welcome serves one client stream.
-func (d *Door) welcome(conn net.Conn) {
-	d.mu.Lock()
-	d.streams[conn] = true
-	d.mu.Unlock()
+func (d *Door) welcome(conn net.Conn, refuse bool) {
+	v := &visit{conn: conn, refuse: refuse}
+	d.idle(v, false)
 	defer func() {
 		d.mu.Lock()
-		delete(d.streams, conn)
+		delete(d.visits, v)
 		d.mu.Unlock()
 		d.open.Add(-1)
 	}()
 	turns := make(chan *turn, pipeline)
-	var pending sync.WaitGroup
-	var broken, closing atomic.Bool
 	written := make(chan struct{})
-	go d.reply(conn, turns, &pending, &broken, &closing, written)
-	d.listen(conn, turns, &pending, &broken, &closing)
+	go d.reply(v, turns, written)
+	d.listen(v, turns)
 	close(turns)
 	<-written
-	if !broken.Load() {
+	if !v.broken.Load() {
 		// What the client still sends is read away for a moment, so that the
 		// last answer is not lost to a reset.
 		if half, ok := conn.(*net.TCPConn); ok {
@@ -158,11 +197,13 @@
 }
 
 // listen reads requests until the stream is to end.
-func (d *Door) listen(conn net.Conn, turns chan<- *turn, pending *sync.WaitGroup, broken, closing *atomic.Bool) {
+func (d *Door) listen(v *visit, turns chan<- *turn) {
+	conn := v.conn
 	source := &counted{conn: conn}
 	in := bufio.NewReaderSize(source, 4096)
 	put := func(t *turn) {
-		pending.Add(1)
+		v.pending.Add(1)
+		v.working.Add(1)
 		d.atWork.Add(1)
 		turns <- t
 	}
@@ -175,16 +216,23 @@
 		limits := d.view().Limits
 		source.most = 0
 		_ = conn.SetReadDeadline(time.Now().Add(limits.IdleTime))
+		crowded := d.open.Load() > d.most/2
+		if crowded {
+			d.idle(v, true)
+		}
 		_, err := in.Peek(1)
+		if crowded {
+			d.idle(v, false)
+		}
 		if err != nil && isTimeout(err) {
 			// A busy daemon may come to this late: what has arrived meanwhile is
 			// a request, not silence.
 			_ = conn.SetReadDeadline(time.Now().Add(idleGlance))
 			_, err = in.Peek(1)
 		}
-		if err != nil || broken.Load() || closing.Load() {
+		if err != nil || v.broken.Load() || v.closing.Load() {
 			if err != nil && !errors.Is(err, io.EOF) && !isTimeout(err) {
-				broken.Store(true)
+				v.broken.Store(true)
 			}
 			return
 		}
@@ -212,7 +260,11 @@
 			deny(problem.HeadTooLarge, id)
 			return
 		}
-		request, kind := d.read(conn, in, parsed, limits, turns, pending)
+		if v.refuse {
+			deny(problem.NoRoom, id)
+			return
+		}
+		request, kind := d.read(v, in, parsed, limits)
 		if kind != problem.None {
 			deny(kind, id)
 			return
@@ -221,9 +273,9 @@
 		path, _, _ := strings.Cut(request.Target, "?")
 		way := d.view().Find(request.Host, path)
 		if way != nil && !way.Repeat.Repeatable() {
-			pending.Wait()
+			v.pending.Wait()
 		}
-		if broken.Load() || closing.Load() {
+		if v.broken.Load() || v.closing.Load() {
 			return
 		}
 		put(t)
@@ -240,7 +292,7 @@
 }
 
 // read takes the request's body in and makes what is passed on.
-func (d *Door) read(conn net.Conn, in *bufio.Reader, parsed *http.Request, limits canon.LimitItem, turns chan<- *turn, pending *sync.WaitGroup) (request *Request, kind problem.Kind) {
+func (d *Door) read(v *visit, in *bufio.Reader, parsed *http.Request, limits canon.LimitItem) (request *Request, kind problem.Kind) {
 	target := parsed.RequestURI
 	if parsed.Method == http.MethodConnect || target == "" || target[0] != '/' && target != "*" {
 		if parsed.URL == nil || parsed.URL.Host == "" || parsed.Method == http.MethodConnect {
@@ -266,10 +318,10 @@
 		return nil, problem.BodyTooLarge
 	}
 	if strings.EqualFold(parsed.Header.Get("Expect"), "100-continue") {
-		pending.Wait()
-		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+		v.pending.Wait()
+		_, _ = io.WriteString(v.conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(bodyPause))
+	_ = v.conn.SetReadDeadline(time.Now().Add(bodyPause))
 	request.HasBody = true
 	if parsed.ContentLength > 0 {
 		if d.room.Add(-parsed.ContentLength) < 0 {
@@ -300,8 +352,14 @@
 }
 
 // reply writes the answers in their order.
-func (d *Door) reply(conn net.Conn, turns <-chan *turn, pending *sync.WaitGroup, broken, closing *atomic.Bool, written chan<- struct{}) {
+func (d *Door) reply(v *visit, turns <-chan *turn, written chan<- struct{}) {
 	defer close(written)
+	conn := v.conn
+	done := func() {
+		d.atWork.Add(-1)
+		v.working.Add(-1)
+		v.pending.Done()
+	}
 	var buffer []byte
 	ended := false
 	for t := range turns {
@@ -313,13 +371,12 @@
 			if verdict.Finish != nil {
 				verdict.Finish(false)
 			}
-			d.atWork.Add(-1)
-			pending.Done()
+			done()
 			continue
 		}
 		verdict.Close = verdict.Close || t.last || d.stopping.Load()
 		if verdict.Close {
-			closing.Store(true)
+			v.closing.Store(true)
 		}
 		verdict.Keep = d.view().Limits.IdleTime - idleMargin
 		_ = conn.SetWriteDeadline(time.Now().Add(30 * time.Second))
@@ -329,7 +386,7 @@
 			buffer = nil
 		}
 		if !whole {
-			broken.Store(true)
+			v.broken.Store(true)
 			if half, ok := conn.(*net.TCPConn); ok {
 				_ = half.SetLinger(0)
 			}
@@ -343,7 +400,6 @@
 			}
 			_ = conn.SetReadDeadline(time.Now().Add(lingerSpan))
 		}
-		d.atWork.Add(-1)
-		pending.Done()
+		done()
 	}
 }
--- a/internal/passage/probe.go
+++ b/internal/passage/probe.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		for _, server := range scene.Services[service] {
-			if !server.Draining && room > 0 && p.owed(now, server, pace) {
+			if room > 0 && !server.leaving() && p.owed(now, server, pace) {
 				room--
 				go p.probe(server, way.HealthPath, term, count)
 			}
