Half of a thin link for large answers, the other half for small ones

A daemon there has 317 KB/s of downloads on 690 KB/s of link, and small answers wait behind them. Downloads are read through one lane; what is not read is held back by the backend.

--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -235,7 +235,7 @@
 // sending says how a plan's request goes out. What may not run twice is lost
 // to a stream that its backend has forgotten, so its stream must be fresh.
 func (d *Daemon) sending(plan *Plan) (sending Sending) {
-	sending = Sending{Till: plan.Till, Rest: restFull, Keyed: plan.Key != "", May: d.may}
+	sending = Sending{Till: plan.Till, Rest: restFull, Keyed: plan.Key != "", Lane: d.lane, May: d.may}
 	if !plan.Way.Repeat.Repeatable() {
 		sending.Rest = d.props.RestOnce
 	}
--- a/internal/passage/daemon.go
+++ b/internal/passage/daemon.go
@@ -35,6 +35,7 @@
 	budget    *Budget
 	limits    *Limits
 	throttles throttles
+	lane      *Lane
 	door      *Door
 	prober    *Prober
 	ready     atomic.Bool
@@ -53,6 +54,7 @@
 	d.link = NewLink(p, log, d.clock, d.world, d.keys, d.life, d.fellow)
 	d.budget = NewBudget(p.Bounds.RetryRatio, p.Bounds.RetryWindow, func() float64 { return d.world.Share(parley.RetrySlack, "") })
 	d.limits = NewLimits(d.world.Share, func() { go d.link.Stir() })
+	d.lane = NewLane(d.clock, p.LinkMbps)
 	d.prober = NewProber(d)
 	d.door = NewDoor(d.Answer, func() *canon.View { return d.world.Scene().View }, max(64, (p.Descriptors-300)*2/3), int64(p.MemoryMB)<<20/4)
 	if d.inner, err = parley.Serve(p.Inner("passage"), map[string]any{"Fellow": &Desk{d}, "Status": &Status{d}}); err != nil {
--- a/internal/passage/round.go
+++ b/internal/passage/round.go
@@ -169,6 +169,7 @@
 type Sending struct {
 	Till, Rest time.Duration
 	Keyed      bool
+	Lane       *Lane
 	May        func(server *Server) bool
 }
 
@@ -211,6 +212,9 @@
 		return Round{Outcome: Broken, Sent: true}
 	}
 	round = receive(clock, stream, request, begun)
+	if round.Verdict.Rest != nil {
+		round.Verdict.Rest = sending.Lane.Through(round.Verdict.Rest)
+	}
 	if round.Outcome == Forgotten {
 		server.habit.Forgot(clock.Now(), begun-stream.restAt)
 	}
--- a/internal/passage/server.go
+++ b/internal/passage/server.go
@@ -25,6 +25,7 @@
 	tallySpan   = 4 * time.Second
 	badStep     = 0.35
 	badHalf     = 2 * time.Second
+	streamRoom  = 16 << 10
 )
 
 // Server is a backend and its pool.
@@ -137,6 +138,8 @@
 		s.mu.Unlock()
 		return nil, err
 	}
+	// What is not read yet is held back by the backend, not on this daemon's link.
+	_ = conn.(*net.TCPConn).SetReadBuffer(streamRoom)
 	raw, err := conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		_ = conn.Close()
--- a/internal/props/props.go
+++ b/internal/props/props.go
@@ -48,6 +48,8 @@
 	RestOnce time.Duration
 	// MachineLosses is how many cores may be lost at once.
 	MachineLosses int
+	// LinkMbps is the daemon's own bandwidth, 0 for no bound.
+	LinkMbps float64
 	// CPUShare is the part of a processor this daemon has.
 	CPUShare float64
 }
@@ -199,6 +201,7 @@
 	props.Sharers = int(r.number(v, "backend_sharers", 1, 3))
 	props.RestOnce = r.span(v, "rest_once", 250*time.Millisecond)
 	props.MachineLosses = int(r.number(v, "machine_losses", 0, 1))
+	props.LinkMbps = r.number(v, "link_mbps", 0, 0)
 	props.CPUShare = r.number(v, "cpu_share", 0.001, 1)
 	if props.ProbeInterval < 10*time.Millisecond {
 		r.fail("probe_interval", "must be 10ms or more")
--- a/internal/props/props_test.go
+++ b/internal/props/props_test.go
@@ -65,7 +65,7 @@
 	values := map[string]string{
 		"node_name": `"core-1"`, "ip_address": `"10.0.0.1"`, "zone": `"a"`, "region": `"n"`, "zones": `{"a":"n"}`, "first_start": `true`, "data_directory": `"/data"`,
 		"listen_addresses": `{"control_plane":"10.0.0.1:8166"}`, "internal_port_range": `[7720,7735]`, "seed_nodes": `["10.0.0.1:8166"]`,
-		"limits.memory_mb": `280`, "limits.cpu_share": `0.25`, "fault_tolerance.machine_losses": `2`, "limits.max_file_descriptors": `4096`, "cloud_api.address": `"10.9.0.1:80"`, "cloud_api.rate_per_s": `44.0`, "bounds": `{"drain":"2s"}`,
+		"limits.memory_mb": `280`, "limits.cpu_share": `0.25`, "limits.link_mbps": `5.5`, "fault_tolerance.machine_losses": `2`, "limits.max_file_descriptors": `4096`, "cloud_api.address": `"10.9.0.1:80"`, "cloud_api.rate_per_s": `44.0`, "bounds": `{"drain":"2s"}`,
 	}
 	for _, with := range []bool{true, false} {
 		text := string(raw)
