--- a/internal/passage/descriptors_test.go
+++ b/internal/passage/descriptors_test.go
@@ -4,10 +4,21 @@
 	"bufio"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 )
 
+// await gives others their turn until a condition holds.
+func await(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !holds(); runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatal("what is awaited does not come")
+		}
+	}
+}
+
 // Beyond the budget of descriptors idle streams go first; where none is idle,
 // the client is refused with a promise, and nothing reaches a backend.
 func TestStreamsBeyondTheBudget(t *testing.T) {
@@ -25,6 +36,16 @@
 	if _, body, err := receiveOne(t, firstIn, "GET"); err != nil || body != "body of one" {
 		t.Fatal(body, err)
 	}
+	await(t, func() bool {
+		d.door.mu.Lock()
+		defer d.door.mu.Unlock()
+		for v, since := range d.door.visits {
+			if !since.IsZero() && v.working.Load() == 0 {
+				return true
+			}
+		}
+		return false
+	})
 	dial := func() (conn net.Conn, in *bufio.Reader) {
 		conn, err := net.Dial("tcp4", first.RemoteAddr().String())
 		if err != nil {
@@ -39,9 +60,7 @@
 	if _, err := firstIn.ReadByte(); err != io.EOF {
 		t.Fatalf("the idle stream was not let go: %v", err)
 	}
-	for d.door.AtWork() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	await(t, func() bool { return d.door.AtWork() > 0 })
 	third, thirdIn := dial()
 	_, _ = io.WriteString(third, ask("GET", "/once/1", "more"))
 	response, _, err := receiveOne(t, thirdIn, "GET")
