Maps told by difference, the roll packed, and a load driver with hollow nodes

Cause: a change of members told the whole map to every daemon, and each row of the roll as it is: bytes grew with the square of the fleet. Tenants are found by name where leases are lent, no longer by going through all for each. The same maps come out of differences and of whole tellings (test).

--- /dev/null
+++ b/cmd/tinpin-load/main.go
@@ -0,0 +1,197 @@
+// The tinpin-load command measures what the control side costs at sizes that are
+// given, with real cores and hollow nodes on loopback; see docs/CAPACITY.md.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"tinpin/internal/strain"
+)
+
+const usage = `tinpin-load measures the control side of tinpin on this machine
+
+  tinpin-load [-span TIME] [-json] [SIZE..]                 one size
+  tinpin-load [-span TIME] [-json] [SIZE..] -vary NAME=A,B,..  several, one variable changed
+  tinpin-load [-json] -path REQUESTS                        what the request path adds
+
+SIZE is -nodes, -backends, -services, -routes, -tenants, and a second each -changes
+(of the configuration), -members (nodes that start anew), -claims (of keys) and
+-reports (of health). What is not given is as usual. Real cores and hollow nodes run
+as processes of this program; they talk to loopback only and end with it. It uses at
+most half of the memory that is free, and refuses a size that needs more.
+`
+
+func main() { os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
+
+// report is what is printed as JSON.
+type report struct {
+	Commit string                `json:"commit"`
+	Points []strain.Point        `json:"points,omitempty"`
+	Fits   map[string]strain.Fit `json:"fits,omitempty"`
+	Path   *strain.PathPoint     `json:"path,omitempty"`
+}
+
+func run(args []string, in io.Reader, out, bad io.Writer) (code int) {
+	wrong := func(err error) int {
+		_, _ = fmt.Fprintln(bad, "tinpin-load:", err)
+		return 2
+	}
+	if len(args) == 1 {
+		if known, err := strain.Work(args[0], in, out); known {
+			if err != nil {
+				return wrong(err)
+			}
+			return 0
+		}
+	}
+	size := strain.Usual
+	set := flag.NewFlagSet("tinpin-load", flag.ContinueOnError)
+	set.SetOutput(io.Discard)
+	for _, name := range strain.Names {
+		set.IntVar(size.At(name), name, *size.At(name), "")
+	}
+	span := set.Duration("span", 5*time.Second, "")
+	asJSON := set.Bool("json", false, "")
+	vary := set.String("vary", "", "")
+	path := set.Int("path", 0, "")
+	if err := set.Parse(args); err != nil {
+		if err == flag.ErrHelp {
+			_, _ = io.WriteString(out, usage)
+			return 0
+		}
+		return wrong(fmt.Errorf("%w; see 'tinpin-load -help'", err))
+	}
+	if set.NArg() > 0 {
+		return wrong(fmt.Errorf("what is %q? see 'tinpin-load -help'", set.Arg(0)))
+	}
+	told := report{Commit: commit()}
+	if *path != 0 {
+		point, err := strain.MeasurePath(*path)
+		if err != nil {
+			return wrong(err)
+		}
+		told.Path = &point
+		return tell(told, *asJSON, out)
+	}
+	sizes, name, err := varied(size, *vary)
+	if err != nil {
+		return wrong(err)
+	}
+	// All sizes are looked over before anything is started.
+	for _, each := range sizes {
+		if err = each.Check(*span, room()); err != nil {
+			return wrong(err)
+		}
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return wrong(err)
+	}
+	for _, each := range sizes {
+		point, measureErr := strain.Measure(program, each, *span)
+		if measureErr != nil {
+			_, _ = fmt.Fprintln(bad, "tinpin-load:", measureErr)
+			return 1
+		}
+		point.Variable = name
+		told.Points = append(told.Points, point)
+	}
+	if name != "" && len(told.Points) > 1 {
+		told.Fits = strain.Fits(name, told.Points)
+	}
+	return tell(told, *asJSON, out)
+}
+
+// varied makes the sizes of a measurement.
+func varied(size strain.Size, text string) (sizes []strain.Size, name string, err error) {
+	if text == "" {
+		return []strain.Size{size}, "", nil
+	}
+	name, values, _ := strings.Cut(text, "=")
+	if size.At(name) == nil {
+		return nil, "", fmt.Errorf("vary: unknown variable %q", name)
+	}
+	for _, value := range strings.Split(values, ",") {
+		number, numberErr := strconv.Atoi(value)
+		if numberErr != nil {
+			return nil, "", fmt.Errorf("vary: %q is no whole number", value)
+		}
+		*size.At(name) = number
+		sizes = append(sizes, size)
+	}
+	return sizes, name, nil
+}
+
+// commit names the source that was built, where the build knows it.
+func commit() (name string) {
+	name = "unknown"
+	if info, known := debug.ReadBuildInfo(); known {
+		for _, setting := range info.Settings {
+			switch setting.Key {
+			case "vcs.revision":
+				name = setting.Value
+			case "vcs.modified":
+				if setting.Value == "true" {
+					name += " and changes"
+				}
+			}
+		}
+	}
+	return name
+}
+
+// room is half of the memory that is free.
+func room() (bytes int64) {
+	data, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 2 << 30
+	}
+	for _, line := range strings.Split(string(data), "\n") {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "MemAvailable:" {
+			kb, _ := strconv.ParseInt(fields[1], 10, 64)
+			return kb << 10 / 2
+		}
+	}
+	return 2 << 30
+}
+
+func tell(told report, asJSON bool, out io.Writer) (code int) {
+	if asJSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", " ")
+		_ = encoder.Encode(told)
+		return 0
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "commit "+told.Commit)
+	if told.Path != nil {
+		for _, at := range []string{"p50", "p90", "p99"} {
+			_, _ = fmt.Fprintf(table, "%s\tdirect %.3f ms\tthrough an edge %.3f ms\tadded %.3f ms\n", at, told.Path.Direct[at], told.Path.Through[at], told.Path.Through[at]-told.Path.Direct[at])
+		}
+	}
+	if len(told.Points) > 0 {
+		_, _ = fmt.Fprintln(table, strings.Join(strain.Names, "\t")+"\tleader cpu\tMB\tfollower cpu\tMB\tnode cpu\tMB\tin B/s\tout B/s\tstart B/node\tchange ms\tdone/s")
+	}
+	for _, p := range told.Points {
+		for _, name := range strain.Names {
+			_, _ = fmt.Fprintf(table, "%d\t", *p.Size.At(name))
+		}
+		_, _ = fmt.Fprintf(table, "%.4f\t%.1f\t%.4f\t%.1f\t%.6f\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\n", p.LeaderCPU, p.LeaderMB, p.FollowerCPU, p.FollowerMB, p.NodeCPU, p.NodeMB, p.LeaderIn, p.LeaderOut, p.StartOut, p.ChangeMS, p.Done)
+	}
+	for _, figure := range strain.Figures {
+		if fit, known := told.Fits[figure.Name]; known {
+			_, _ = fmt.Fprintf(table, "%s\t%.6g\t+ %.6g each\toff by %.3g at most\n", figure.Name, fit.Base, fit.Slope, fit.Residual)
+		}
+	}
+	_ = table.Flush()
+	return 0
+}
--- a/internal/canon/view.go
+++ b/internal/canon/view.go
@@ -14,13 +14,14 @@
 	hosts    map[string]map[string]*Way
 	Services map[string]*Service
 	tenants  map[string]*Tenant
+	named    map[string]*Tenant
 	Limits   LimitItem
 	Ways     int
 }
 
 // View builds the reading of what stands.
 func (c *Canon) View() (view *View) {
-	view = &View{hosts: map[string]map[string]*Way{}, Services: map[string]*Service{}, tenants: map[string]*Tenant{}, Limits: UsualLimits}
+	view = &View{hosts: map[string]map[string]*Way{}, Services: map[string]*Service{}, tenants: map[string]*Tenant{}, named: map[string]*Tenant{}, Limits: UsualLimits}
 	for _, item := range c.items {
 		switch {
 		case item.Dropped:
@@ -35,6 +36,7 @@
 		case item.service != nil:
 			view.Services[item.Name] = item.service
 		case item.tenant != nil:
+			view.named[item.tenant.Name] = item.tenant
 			for _, host := range item.tenant.Hosts {
 				view.tenants[strings.ToLower(host)] = item.tenant
 			}
@@ -101,6 +103,9 @@
 	return tenants
 }
 
+// TenantNamed gives a tenant by its name, nil where there is none.
+func (v *View) TenantNamed(name string) (tenant *Tenant) { return v.named[name] }
+
 // Homes gives the regions that a host's keyed ways are bound to, none where it
 // has no such way or they are bound to different ones. Other ways do not
 // matter: they keep no answers and may be served from there as well.
--- a/internal/council/status.go
+++ b/internal/council/status.go
@@ -27,7 +27,10 @@
 	Members []accord.Member `json:"members"`
 	Rev     uint64          `json:"rev"`
 	Claims  int             `json:"claims"`
-	Forum   *forum.Account  `json:"forum,omitempty"`
+	// BytesIn and BytesOut are those of inner calls since it started.
+	BytesIn  int64          `json:"bytes_in"`
+	BytesOut int64          `json:"bytes_out"`
+	Forum    *forum.Account `json:"forum,omitempty"`
 }
 
 // Tell gives the account.
@@ -39,6 +42,7 @@
 	account.Leads, account.Settled, term, leader, account.Members = c.node.Standing()
 	account.Term, account.Leader = uint64(term), leader.Control
 	c.node.Read(func(state *accord.State) { account.Rev, account.Claims = state.Rev, state.Claims() })
+	account.BytesIn, account.BytesOut = parley.Traffic()
 	if open := c.desk.Forum(); open != nil {
 		account.Forum = open.Account()
 	}
--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -61,6 +61,7 @@
 	retries *allot.Lender
 	shards  parley.ShardMap
 	mapAt   parley.Epoch
+	members *census.Ledger[parley.FellowID, bool]
 	absent  []parley.FellowID
 	absAt   parley.Epoch
 	view    *canon.View
@@ -81,6 +82,9 @@
 	// parts are the parts of the items as of the place partsOf.
 	partsOf uint64
 	parts   map[itemPlace]itemPart
+	// crowds are rows of fellows packed, by what those told know, as of crowdsOf.
+	crowdsOf parley.Epoch
+	crowds   map[parley.Epoch][]byte
 
 	refusals  atomic.Int64
 	balance   *vigil.Balance
@@ -100,6 +104,7 @@
 		book: allot.NewBook(0, leaseSpan), near: map[parley.SiteName][]parley.FellowID{}, owners: map[parley.ServiceName]parley.FellowID{}, tallies: map[parley.FellowID][]parley.Tally{}, view: canon.New().View(), sites: map[parley.SiteName]bool{},
 		changed: make(chan struct{}), stop: make(chan struct{}), chronicle: node.Chronicle, orders: newOrders(), sessions: newSessions(), balance: vigil.NewBalance(),
 	}
+	forum.members = census.NewLedger[parley.FellowID, bool](clock)
 	first := term == 1
 	forum.lender = allot.NewLender(0, leaseSpan, first)
 	forum.retries = allot.NewLenderOf(allot.RetryKinds, 0, leaseSpan, first)
@@ -213,6 +218,17 @@
 		same = members[i] == f.shards.Members[i]
 	}
 	if !same {
+		stay := make(map[parley.FellowID]bool, len(members))
+		for _, member := range members {
+			stay[member] = true
+			f.members.Set(member, true)
+		}
+		for _, member := range f.shards.Members {
+			if !stay[member] {
+				f.members.Drop(member)
+			}
+		}
+		// All that made this map lies before its count, and behind the last one's.
 		f.mapAt = f.clock.Next()
 		f.shards = parley.ShardMap{Term: f.term, Count: f.mapAt, Members: members}
 		f.cache.Shards(f.shards)
@@ -498,18 +514,56 @@
 			news.States = append(news.States, state)
 		})
 	}
+	f.tellFellows(since, news)
+	f.tellMap(ask.Seen, news)
+	news.Absent = f.absent
+	news.Spills = f.balance.Spills(ask.Site)
+	news.Tallies = f.tallies[ask.ID]
+	delete(f.tallies, ask.ID)
+	news.Leases = f.lend(now, ask)
+}
+
+// tellFellows tells what changed of the roll; many rows are packed, once for
+// all that know as much.
+func (f *Forum) tellFellows(since parley.Epoch, news *parley.News) {
+	if f.crowdsOf != f.clock.Now() {
+		f.crowdsOf, f.crowds = f.clock.Now(), map[parley.Epoch][]byte{}
+	}
+	if packed, known := f.crowds[since]; known {
+		news.Crowd = packed
+		return
+	}
 	f.roll.Fellows.Since(since, func(_ parley.FellowID, fellow parley.Fellow, gone bool) {
 		news.Fellows = append(news.Fellows, parley.FellowChange{Fellow: fellow, Gone: gone})
 	})
-	if f.mapAt > since || news.Full {
+	if len(news.Fellows) <= packedLeast {
+		return
+	}
+	if packed, err := parley.Pack(news.Fellows); err == nil {
+		news.Fellows, news.Crowd = nil, packed
+		f.crowds[since] = packed
+	}
+}
+
+// tellMap tells what changed of the map, or all of it to who knows none.
+func (f *Forum) tellMap(seen parley.Seen, news *parley.News) {
+	if news.Full || seen.MapAt == 0 {
 		shards := f.shards
 		news.Map = &shards
+		return
 	}
-	news.Absent = f.absent
-	news.Spills = f.balance.Spills(ask.Site)
-	news.Tallies = f.tallies[ask.ID]
-	delete(f.tallies, ask.ID)
-	news.Leases = f.lend(now, ask)
+	if f.mapAt <= seen.MapAt {
+		return
+	}
+	delta := &parley.MapDelta{Base: seen.MapAt, Count: f.mapAt}
+	f.members.Since(seen.MapAt, func(id parley.FellowID, _ bool, gone bool) {
+		if gone {
+			delta.Removed = append(delta.Removed, id)
+		} else {
+			delta.Added = append(delta.Added, id)
+		}
+	})
+	news.MapDelta = delta
 }
 
 // lend gives a fellow its shares of every bound.
@@ -529,10 +583,8 @@
 	slack := f.props.Bounds.RetrySlack * 0.7
 	give(allot.Key{Kind: parley.RetrySlack}, slack, f.props.Bounds.RetryWindow, slack/float64(present))
 	for _, demand := range ask.Demands {
-		for _, tenant := range f.view.Tenants() {
-			if tenant.Name == demand.Tenant {
-				leases = append(leases, f.lender.Lend(now, allot.Bound{Name: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst}, ask.ID, present, demand)...)
-			}
+		if tenant := f.view.TenantNamed(demand.Tenant); tenant != nil {
+			leases = append(leases, f.lender.Lend(now, allot.Bound{Name: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst}, ask.ID, present, demand)...)
 		}
 	}
 	for _, demand := range ask.Retries {
--- a/internal/forum/forum_test.go
+++ b/internal/forum/forum_test.go
@@ -18,7 +18,9 @@
 
 // bare is a forum without duties: what it is told in the test is all there is.
 func bare() (f *Forum) {
-	defer func() { f.balance, f.orders = vigil.NewBalance(), newOrders() }()
+	defer func() {
+		f.balance, f.orders, f.members = vigil.NewBalance(), newOrders(), census.NewLedger[parley.FellowID, bool](f.clock)
+	}()
 	clock := &census.Clock{}
 	clock.Next()
 	return &Forum{
--- /dev/null
+++ b/internal/forum/map_test.go
@@ -0,0 +1,67 @@
+package forum
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+
+	"tinpin/internal/parley"
+)
+
+// Fellows that are told differences come to the same map as one that is told it
+// whole, however far behind they were and however often they ask at once.
+func TestMapsToldByDifferenceAreTheSame(t *testing.T) {
+	luck := rand.New(rand.NewSource(3))
+	f := bare()
+	type told struct {
+		seen parley.Seen
+		m    parley.ShardMap
+	}
+	fellows := make([]told, 8)
+	for step := 0; step < 400; step++ {
+		now := time.Duration(step) * time.Second
+		id := parley.FellowID(fmt.Sprint("e", luck.Intn(30)))
+		f.roll.Beat(now, parley.Fellow{ID: id, Ready: true, Stopping: luck.Intn(3) == 0})
+		if luck.Intn(2) == 0 {
+			f.refreshMembers()
+		}
+		at := &fellows[luck.Intn(len(fellows))]
+		asked := at.seen
+		for again := luck.Intn(2); again >= 0; again-- {
+			var news parley.News
+			f.tellMap(asked, &news)
+			if news.Map != nil {
+				at.m = *news.Map
+			} else if delta := news.MapDelta; delta != nil && delta.Base <= at.m.Count && delta.Count > at.m.Count {
+				at.m = at.m.Apply(*delta)
+			}
+			at.seen.MapAt = at.m.Count
+			if len(f.shards.Members)+len(at.m.Members) > 0 && !reflect.DeepEqual(at.m.Members, f.shards.Members) || at.m.Count != f.shards.Count {
+				t.Fatalf("step %d: told %v, it is %v", step, at.m, f.shards)
+			}
+			if luck.Intn(2) == 0 {
+				f.refreshMembers()
+			}
+		}
+	}
+}
+
+// Many rows of the roll come packed and whole.
+func TestACrowdIsToldPacked(t *testing.T) {
+	f := bare()
+	for n := 0; n < 300; n++ {
+		f.roll.Beat(0, parley.Fellow{ID: parley.FellowID(fmt.Sprintf("edge-somewhere-%d", n)), Site: "somewhere", Region: "there", Front: fmt.Sprintf("10.1.%d.%d:8161", n/250, n%250), Inner: fmt.Sprintf("10.1.%d.%d:7721", n/250, n%250), Ready: true})
+	}
+	var news, again parley.News
+	f.tellFellows(0, &news)
+	f.tellFellows(0, &again)
+	rows, err := parley.UnpackRows[parley.FellowChange](news.Crowd)
+	if err != nil || len(rows) != 300 || len(news.Fellows) != 0 || &again.Crowd[0] != &news.Crowd[0] {
+		t.Fatal(len(rows), err)
+	}
+	if each := len(news.Crowd) / 300; each > 40 {
+		t.Errorf("%d bytes a row", each)
+	}
+}
--- a/internal/parley/caller.go
+++ b/internal/parley/caller.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, Unsent.Wrap(err)
 	}
-	c.client = rpc.NewClient(conn)
+	c.client = rpc.NewClient(countedConn{conn})
 	return c.client, nil
 }
 
@@ -178,7 +178,7 @@
 			return
 		}
 		go func() {
-			server.ServeConn(conn)
+			server.ServeConn(countedConn{conn})
 			s.keep(conn, false)
 		}()
 	}
--- a/internal/parley/pack.go
+++ b/internal/parley/pack.go
@@ -15,8 +15,8 @@
 // unpackedMost bounds what a packed part may grow to.
 const unpackedMost = 64 << 20
 
-// Pack packs items.
-func Pack(items []canon.Item) (packed []byte, err error) {
+// Pack packs rows.
+func Pack[Row any](items []Row) (packed []byte, err error) {
 	var buffer bytes.Buffer
 	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
 	if err != nil {
@@ -31,8 +31,11 @@
 	return buffer.Bytes(), nil
 }
 
-// Unpack gives the items back.
-func Unpack(packed []byte) (items []canon.Item, err error) {
+// Unpack gives the items of the configuration back.
+func Unpack(packed []byte) (items []canon.Item, err error) { return UnpackRows[canon.Item](packed) }
+
+// UnpackRows gives rows back.
+func UnpackRows[Row any](packed []byte) (items []Row, err error) {
 	reader := flate.NewReader(bytes.NewReader(packed))
 	err = gob.NewDecoder(io.LimitReader(reader, unpackedMost)).Decode(&items)
 	return items, Class.Wrap(err)
--- a/internal/parley/words.go
+++ b/internal/parley/words.go
@@ -4,6 +4,7 @@
 package parley
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -126,6 +127,29 @@
 	Members []FellowID
 }
 
+// MapDelta is how a map differs from the one of count Base or any told since;
+// a whole map for each change would grow with the square of the fleet.
+type MapDelta struct {
+	Base, Count    Epoch
+	Added, Removed []FellowID
+}
+
+// Apply gives the map that a delta makes of one that was told.
+func (m ShardMap) Apply(delta MapDelta) (next ShardMap) {
+	gone := make(map[FellowID]bool, len(delta.Added)+len(delta.Removed))
+	for _, member := range append(delta.Removed, delta.Added...) {
+		gone[member] = true
+	}
+	next = ShardMap{Term: m.Term, Count: delta.Count, Members: append([]FellowID{}, delta.Added...)}
+	for _, member := range m.Members {
+		if !gone[member] {
+			next.Members = append(next.Members, member)
+		}
+	}
+	slices.Sort(next.Members)
+	return next
+}
+
 // LeaseKind names a bound of the whole fleet.
 type LeaseKind uint8
 
@@ -232,6 +256,8 @@
 	// until then ListAt is the last one it was told.
 	Listed bool
 	ListAt ServerID
+	// MapAt is the count of the last map told in this term, 0 for none.
+	MapAt Epoch
 }
 
 // AllItems stands behind every path.
@@ -315,9 +341,13 @@
 	Servers []ServerChange
 	Fellows []FellowChange
 	States  []State
-	Map     *ShardMap
-	Absent  []FellowID
-	Leases  []Lease
+	// Crowd are the same as Fellows, packed, where they are many.
+	Crowd []byte
+	// Map is the whole map, MapDelta what changed of it.
+	Map      *ShardMap
+	MapDelta *MapDelta
+	Absent   []FellowID
+	Leases   []Lease
 	// Spills are what the fellow's site should send away.
 	Spills []Spill
 	// Tallies are the outcomes that others told of what this fellow owns.
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -60,6 +60,7 @@
 	fellows  map[parley.FellowID]parley.Fellow
 	cores    map[string]bool
 	watch    *vigil.Watch
+	told     parley.ShardMap
 	judge    *vigil.Judge
 	listed   bool
 	viewed   *canon.View
@@ -115,6 +116,14 @@
 		}
 		news.Items = items
 	}
+	if news.Crowd != nil {
+		fellows, err := parley.UnpackRows[parley.FellowChange](news.Crowd)
+		if err != nil {
+			w.log.Say(events.PropsRefused, "problem", err.Error())
+			return
+		}
+		news.Fellows = append(news.Fellows, fellows...)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.clock.Now()
@@ -128,7 +137,7 @@
 	}
 	first := w.seen.Rev == 0
 	if news.Term != w.seen.Term {
-		w.seen.Listed, w.seen.ListAt, w.named = false, "", map[parley.ServerID]bool{}
+		w.seen.Listed, w.seen.ListAt, w.seen.MapAt, w.named = false, "", 0, map[parley.ServerID]bool{}
 	}
 	changed := news.Full || news.Part != nil || len(news.Servers) > 0 || len(news.Fellows) > 0 || len(news.Items) > 0 || len(news.Evacuations) > 0
 	for _, core := range news.Cores {
@@ -196,7 +205,12 @@
 			w.fellows[change.ID] = change.Fellow
 		}
 	}
+	if delta := news.MapDelta; delta != nil && w.seen.MapAt > 0 && delta.Base <= w.seen.MapAt && delta.Count > w.seen.MapAt {
+		next := w.told.Apply(*delta)
+		news.Map = &next
+	}
 	if news.Map != nil {
+		w.told, w.seen.MapAt = *news.Map, news.Map.Count
 		w.watch.Map(now, *news.Map)
 	}
 	for _, tally := range news.Tallies {
--- /dev/null
+++ b/internal/strain/path.go
@@ -0,0 +1,78 @@
+// Path measures what the request path adds: the same requests one after the
+// other to a stand-in backend directly and through an edge, on loopback.
+package strain
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"sort"
+	"time"
+
+	"tinpin/internal/stage"
+)
+
+// PathPoint is what requests took, in milliseconds at percentiles.
+type PathPoint struct {
+	Requests int                `json:"requests"`
+	Direct   map[string]float64 `json:"direct_ms"`
+	Through  map[string]float64 `json:"through_ms"`
+}
+
+var percentiles = []float64{50, 90, 99}
+
+func percentilesOf(times []time.Duration) (at map[string]float64) {
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	at = map[string]float64{}
+	for _, percentile := range percentiles {
+		at[fmt.Sprintf("p%g", percentile)] = float64(times[min(len(times)-1, int(float64(len(times))*percentile/100))]) / float64(time.Millisecond)
+	}
+	return at
+}
+
+// MeasurePath measures so many requests each way.
+func MeasurePath(requests int) (point PathPoint, err error) {
+	if requests < 1 || requests > 100_000 {
+		return point, Class.New("requests must be from 1 to 100000, not %d", requests)
+	}
+	folder, err := os.MkdirTemp("", "tinpin-load-")
+	if err != nil {
+		return point, Class.Wrap(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	ctx, cancel := context.WithTimeout(context.Background(), settleMost)
+	defer cancel()
+	system, err := stage.Start(folder, stage.Hosts())
+	if err != nil {
+		return point, Class.Wrap(err)
+	}
+	defer system.Close()
+	if _, _, err = system.Operator(ctx, http.MethodPost, "/-/Config.Update", stage.FirstCall); err != nil {
+		return point, Class.Wrap(err)
+	}
+	if err = system.Ready(ctx); err != nil {
+		return point, Class.Wrap(err)
+	}
+	point.Requests = requests
+	for way, front := range map[string]string{"direct": system.Backends[0].Address, "through": system.EdgeProps[0].Front} {
+		var times []time.Duration
+		for n := 0; n < requests+requests/10+1; n++ {
+			begun := time.Now()
+			status, askErr := stage.AskAs(ctx, front, http.MethodGet, "/hello/x", "", "")
+			if askErr != nil || status != http.StatusOK {
+				return point, Class.New("%s: %d %v", way, status, askErr)
+			}
+			// The first tenth warms both up.
+			if n > requests/10 {
+				times = append(times, time.Since(begun))
+			}
+		}
+		if way == "direct" {
+			point.Direct = percentilesOf(times)
+		} else {
+			point.Through = percentilesOf(times)
+		}
+	}
+	return point, nil
+}
--- /dev/null
+++ b/internal/strain/size.go
@@ -0,0 +1,96 @@
+// Package strain measures what the control side costs at a size: real cores in
+// processes of their own, and hollow nodes that speak the real inner protocol
+// by the real code without carrying traffic, many in a process. It talks to
+// loopback only, is bounded in time, processes and memory, and stops by itself.
+// This file is the size of one measurement and its bounds.
+package strain
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Class marks what cannot be measured.
+var Class = errs.Class("strain")
+
+// Size is what is set up, and how many changes a second go on.
+type Size struct {
+	Nodes    int `json:"nodes"`
+	Backends int `json:"backends"`
+	Services int `json:"services"`
+	Routes   int `json:"routes"`
+	Tenants  int `json:"tenants"`
+	// Changes of the configuration, of membership, claims of keys and reports of
+	// health, each a second.
+	Changes int `json:"changes"`
+	Members int `json:"members"`
+	Claims  int `json:"claims"`
+	Reports int `json:"reports"`
+}
+
+// Usual is the size from which one variable at a time is changed.
+var Usual = Size{Nodes: 100, Backends: 300, Services: 4, Routes: 20}
+
+// Bounds of one measurement.
+const (
+	nodesMost    = 4000
+	perProcess   = 400
+	rowsMost     = 60_000
+	rateMost     = 20_000
+	spanMost     = time.Minute
+	spanLeast    = time.Second
+	rowBytes     = 2500
+	nodeBytes    = 400 << 10
+	processBytes = 60 << 20
+)
+
+// Names lists the variables in the order of their columns.
+var Names = []string{"nodes", "backends", "services", "routes", "tenants", "changes", "members", "claims", "reports"}
+
+// At points to a variable by its name.
+func (s *Size) At(name string) (value *int) {
+	return map[string]*int{
+		"nodes": &s.Nodes, "backends": &s.Backends, "services": &s.Services, "routes": &s.Routes, "tenants": &s.Tenants,
+		"changes": &s.Changes, "members": &s.Members, "claims": &s.Claims, "reports": &s.Reports,
+	}[name]
+}
+
+// Memory reckons what a measurement needs, generously.
+func (s Size) Memory() (bytes int64) {
+	rows := int64(s.Backends + s.Services + s.Routes + s.Tenants)
+	return int64(s.Nodes)*(nodeBytes+rows*rowBytes) + 6*rows*rowBytes + int64(s.Claims)*75*800*3 + int64(s.processes()+4)*processBytes
+}
+
+func (s Size) processes() (count int) { return (s.Nodes + perProcess - 1) / perProcess }
+
+// Check names every fault of a size before anything is started; room is the
+// memory that may be used.
+func (s Size) Check(span time.Duration, room int64) (err error) {
+	var faults []string
+	within := func(name string, value, least, most int) {
+		if value < least || value > most {
+			faults = append(faults, fmt.Sprintf("%s must be from %d to %d, not %d", name, least, most, value))
+		}
+	}
+	within("nodes", s.Nodes, 1, nodesMost)
+	within("backends", s.Backends, 1, rowsMost)
+	within("services", s.Services, 1, rowsMost)
+	within("routes", s.Routes, 1, rowsMost)
+	within("tenants", s.Tenants, 0, rowsMost)
+	for _, name := range []string{"changes", "members", "claims", "reports"} {
+		within(name, *s.At(name), 0, rateMost)
+	}
+	if span < spanLeast || span > spanMost {
+		faults = append(faults, fmt.Sprintf("span must be from %s to %s, not %s", spanLeast, spanMost, span))
+	}
+	if len(faults) == 0 && s.Memory() > room {
+		faults = append(faults, fmt.Sprintf("memory would be about %d MB, above the %d MB that may be used", s.Memory()>>20, room>>20))
+	}
+	if len(faults) > 0 {
+		return Class.New("%s", strings.Join(faults, "; "))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/strain/system.go
@@ -0,0 +1,314 @@
+// System is what a measurement sets up: cores and hollow nodes as processes of
+// the same program, a stand-in for the platform's list, and an operator.
+package strain
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"tinpin/internal/council"
+	"tinpin/internal/parley"
+	"tinpin/internal/props"
+)
+
+const (
+	coreCount   = 3
+	settleMost  = 90 * time.Second
+	pageRows    = 1000
+	controlPort = 18266
+	listPort    = 18269
+	innerLow    = 17820
+)
+
+// worker is one process of the measurement.
+type worker struct {
+	command *exec.Cmd
+	in      io.WriteCloser
+	out     *bufio.Scanner
+}
+
+// nodesTask is what a process of hollow nodes is given.
+type nodesTask struct {
+	Props   props.Props `json:"props"`
+	First   int         `json:"first"`
+	Count   int         `json:"count"`
+	Size    Size        `json:"size"`
+	Members float64     `json:"members"`
+	Claims  float64     `json:"claims"`
+	Reports float64     `json:"reports"`
+}
+
+type system struct {
+	size     Size
+	hosts    func(n int) string
+	cores    []*worker
+	props    []props.Props
+	nodes    []*worker
+	platform *http.Server
+	version  int
+}
+
+func start(program, word string, task any) (w *worker, err error) {
+	text, err := json.Marshal(task)
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	w = &worker{command: exec.Command(program, word)}
+	w.command.Stderr = os.Stderr
+	if w.in, err = w.command.StdinPipe(); err != nil {
+		return nil, Class.Wrap(err)
+	}
+	pipe, err := w.command.StdoutPipe()
+	if err != nil {
+		return nil, Class.Wrap(err)
+	}
+	w.out = bufio.NewScanner(pipe)
+	if err = w.command.Start(); err != nil {
+		return nil, Class.Wrap(err)
+	}
+	_, err = fmt.Fprintf(w.in, "%s\n", text)
+	return w, Class.Wrap(err)
+}
+
+// end closes the worker's input, by which it ends, and waits for it.
+func (w *worker) end() {
+	_ = w.in.Close()
+	done := make(chan struct{})
+	go func() { _ = w.command.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		_ = w.command.Process.Kill()
+		<-done
+	}
+}
+
+// used gives the processor seconds of a worker so far, and its memory in MB.
+func (w *worker) used() (seconds, mb float64) {
+	return used(w.command.Process.Pid)
+}
+
+func used(pid int) (seconds, mb float64) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, 0
+	}
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	if len(fields) > 21 {
+		user, _ := strconv.ParseFloat(fields[11], 64)
+		kernel, _ := strconv.ParseFloat(fields[12], 64)
+		pages, _ := strconv.ParseFloat(fields[21], 64)
+		seconds, mb = (user+kernel)/100, pages*float64(os.Getpagesize())/(1<<20)
+	}
+	return seconds, mb
+}
+
+// common are the settings of every daemon.
+func (s *system) common(name, address string, seeds []string) (p props.Props) {
+	p = props.Props{
+		Name: name, Address: address, Site: "z0", Region: "r0", Regions: map[string]string{"z0": "r0", "z1": "r0", "z2": "r1"}, FirstStart: true,
+		InnerLow: innerLow, InnerHigh: innerLow + 15, Seeds: seeds, MemoryMB: 4096, Descriptors: 8192,
+		PlatformAddress: net.JoinHostPort(s.hosts(200), strconv.Itoa(listPort)), PlatformRate: 44, Sharers: 3, RestOnce: 250 * time.Millisecond, CPUShare: 1,
+		SendInterval: 4 * time.Second, ProbeInterval: time.Second, ListInterval: 700 * time.Millisecond, MachineLosses: 1,
+	}
+	p.Bounds = props.Bounds{Grace: time.Second, KeyWindow: time.Minute, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 600, TTLMax: 5 * time.Second}
+	return p
+}
+
+func setUp(ctx context.Context, program, folder string, size Size) (s *system, err error) {
+	pid := os.Getpid()
+	s = &system{size: size, version: 1, hosts: func(n int) string { return fmt.Sprintf("127.%d.%d.%d", 192+pid>>8&31, pid&255, n) }}
+	listener, err := net.Listen("tcp4", net.JoinHostPort(s.hosts(200), strconv.Itoa(listPort)))
+	if err != nil {
+		return s, Class.Wrap(err)
+	}
+	s.platform = &http.Server{Handler: http.HandlerFunc(s.list)}
+	go func() { _ = s.platform.Serve(listener) }()
+	var seeds []string
+	for i := 1; i <= coreCount; i++ {
+		seeds = append(seeds, net.JoinHostPort(s.hosts(i), strconv.Itoa(controlPort)))
+	}
+	for i := 1; i <= coreCount; i++ {
+		p := s.common(fmt.Sprint("core-", i), s.hosts(i), seeds)
+		p.Control, p.Data = seeds[i-1], filepath.Join(folder, p.Name)
+		core, startErr := start(program, "core", p)
+		if startErr != nil {
+			return s, startErr
+		}
+		s.cores, s.props = append(s.cores, core), append(s.props, p)
+	}
+	if err = s.operator(ctx, s.firstCall()); err != nil {
+		return s, err
+	}
+	count := size.processes()
+	for i := 0; i < count; i++ {
+		first, last := i*size.Nodes/count, (i+1)*size.Nodes/count
+		task := nodesTask{
+			Props: s.common("node", s.hosts(100), seeds), First: first, Count: last - first, Size: size,
+			Members: float64(size.Members) / float64(count), Claims: float64(size.Claims) / float64(count), Reports: float64(size.Reports) / float64(count),
+		}
+		nodes, startErr := start(program, "nodes", task)
+		if startErr != nil {
+			return s, startErr
+		}
+		s.nodes = append(s.nodes, nodes)
+	}
+	_, err = s.await(ctx, "listed")
+	return s, err
+}
+
+// ask has every process of nodes do something and waits for all.
+func (s *system) await(ctx context.Context, word string) (sum float64, err error) {
+	for _, nodes := range s.nodes {
+		if _, err = fmt.Fprintln(nodes.in, word); err != nil {
+			return 0, Class.Wrap(err)
+		}
+	}
+	answers := make(chan string, len(s.nodes))
+	for _, nodes := range s.nodes {
+		go func() {
+			nodes.out.Scan()
+			answers <- nodes.out.Text()
+		}()
+	}
+	for range s.nodes {
+		select {
+		case answer := <-answers:
+			number, numberErr := strconv.ParseFloat(answer, 64)
+			if numberErr != nil {
+				return 0, Class.New("a process of nodes answered %q", answer)
+			}
+			sum += number
+		case <-ctx.Done():
+			return 0, Class.New("the nodes did not get there in time")
+		}
+	}
+	return sum, nil
+}
+
+func (s *system) close() {
+	for _, nodes := range s.nodes {
+		nodes.end()
+	}
+	for _, core := range s.cores {
+		core.end()
+	}
+	if s.platform != nil {
+		_ = s.platform.Close()
+	}
+}
+
+func serviceName(n int) string { return fmt.Sprint("s", n) }
+func backendName(n int) string { return fmt.Sprintf("i-%06d", n) }
+
+// list is the stand-in for the platform.
+func (s *system) list(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.URL.Query().Get("page_token"))
+	rows := [][]any{}
+	for n := from; n < min(from+pageRows, s.size.Backends); n++ {
+		rows = append(rows, []any{backendName(n), serviceName(n % s.size.Services), fmt.Sprintf("10.%d.%d.%d:8080", n>>16&255, n>>8&255, n&255), fmt.Sprint("z", n%3), "ready", 4, "0ms", "v1"})
+	}
+	var next any
+	if from+pageRows < s.size.Backends {
+		next = strconv.Itoa(from + pageRows)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"instances":       map[string]any{"column_names": []string{"instance_id", "service_name", "address", "zone", "state", "capacity_slots", "cold_remaining", "version"}, "row_values": rows},
+		"next_page_token": next,
+	})
+}
+
+func routeRow(n, services, version int) []any {
+	return []any{fmt.Sprint("r", n), fmt.Sprintf("h%d.example", n/10), fmt.Sprintf("/p%d/", n%10), "keyed", "2s", "500ms", 2, serviceName(n % services), version}
+}
+
+var routeColumns = []string{"name", "hostname", "path_prefix", "route_type", "timeout", "target_latency", "max_attempts", "service_name", "version"}
+
+func (s *system) firstCall() (body []byte) {
+	services, routes, tenants := [][]any{}, [][]any{}, [][]any{}
+	for n := 0; n < s.size.Services; n++ {
+		services = append(services, []any{serviceName(n), "/health", 100, 1})
+	}
+	for n := 0; n < s.size.Routes; n++ {
+		routes = append(routes, routeRow(n, s.size.Services, 1))
+	}
+	for n := 0; n < s.size.Tenants; n++ {
+		tenants = append(tenants, []any{fmt.Sprint("t", n), []string{fmt.Sprintf("t%d.example", n)}, 100, 100, 1})
+	}
+	upserts := map[string]any{
+		"services": map[string]any{"column_names": []string{"name", "health_check_path", "max_connections", "version"}, "row_values": services},
+		"routes":   map[string]any{"column_names": routeColumns, "row_values": routes},
+	}
+	if len(tenants) > 0 {
+		upserts["tenants"] = map[string]any{"column_names": []string{"name", "hostnames", "rate", "burst", "version"}, "row_values": tenants}
+	}
+	body, _ = json.Marshal(map[string]any{"upserts": upserts})
+	return body
+}
+
+// change sends one route anew.
+func (s *system) change(ctx context.Context) (err error) {
+	s.version++
+	body, _ := json.Marshal(map[string]any{"upserts": map[string]any{"routes": map[string]any{"column_names": routeColumns, "row_values": [][]any{routeRow(s.version%s.size.Routes, s.size.Services, s.version)}}}})
+	return s.operator(ctx, body)
+}
+
+// operator sends a call until it is acknowledged.
+func (s *system) operator(ctx context.Context, body []byte) (err error) {
+	for {
+		for _, p := range s.props {
+			request, requestErr := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Control+"/-/Config.Update", bytes.NewReader(body))
+			if requestErr != nil {
+				return Class.Wrap(requestErr)
+			}
+			request.Header.Set("Content-Type", "application/json")
+			response, callErr := http.DefaultClient.Do(request)
+			if callErr != nil {
+				continue
+			}
+			answer, _ := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+			if response.StatusCode < 500 {
+				return Class.New("the operator's call got %d: %s", response.StatusCode, answer)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return Class.New("no core took the operator's call")
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// leader asks the cores how they stand and gives the one that leads.
+func (s *system) leader() (at int, account council.CoreAccount, err error) {
+	for i, p := range s.props {
+		caller := parley.NewCaller(p.Inner("accord"))
+		var reply parley.StatusReply
+		callErr := caller.Call("Status.Tell", parley.StatusAsk{}, &reply, 5*time.Second)
+		caller.Close()
+		if callErr != nil {
+			continue
+		}
+		var told council.CoreAccount
+		if json.Unmarshal(reply.JSON, &told) == nil && told.Leads && told.Settled {
+			return i, told, nil
+		}
+	}
+	return 0, account, Class.New("no core leads")
+}
--- /dev/null
+++ b/internal/strain/worker.go
@@ -0,0 +1,150 @@
+// The words of the processes that a measurement starts: "core" runs one core,
+// "nodes" many hollow nodes. Each reads its task as one line, then words, and
+// ends with its input.
+package strain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"tinpin/internal/council"
+	"tinpin/internal/events"
+	"tinpin/internal/parley"
+	"tinpin/internal/passage"
+	"tinpin/internal/props"
+)
+
+const pollPause = 2 * time.Millisecond
+
+// Work does what a process is for; known tells that there is such a word.
+func Work(word string, in io.Reader, out io.Writer) (known bool, err error) {
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, 1<<20)
+	switch word {
+	case "core":
+		return true, workCore(lines)
+	case "nodes":
+		return true, workNodes(lines, out)
+	}
+	return false, nil
+}
+
+func task(lines *bufio.Scanner, into any) (err error) {
+	if !lines.Scan() {
+		return Class.New("no task was given")
+	}
+	return Class.Wrap(json.Unmarshal(lines.Bytes(), into))
+}
+
+func workCore(lines *bufio.Scanner) (err error) {
+	var p props.Props
+	if err = task(lines, &p); err != nil {
+		return err
+	}
+	core, err := council.Start(p, events.Quiet())
+	if err != nil {
+		return err
+	}
+	for lines.Scan() {
+	}
+	core.Stop()
+	return nil
+}
+
+func workNodes(lines *bufio.Scanner, out io.Writer) (err error) {
+	var t nodesTask
+	if err = task(lines, &t); err != nil {
+		return err
+	}
+	nodes := make([]atomic.Pointer[passage.Hollow], t.Count)
+	begin := func(i int) {
+		p := t.Props
+		p.Name = fmt.Sprintf("node-%05d", t.First+i)
+		p.Site = fmt.Sprint("z", (t.First+i)%3)
+		p.Region = p.Regions[p.Site]
+		nodes[i].Store(passage.StartHollow(p, parley.Life(rand.Uint64())))
+	}
+	for i := range nodes {
+		begin(i)
+		if i%20 == 19 {
+			// They do not all come in the same instant.
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	var done atomic.Int64
+	ended := make(chan struct{})
+	defer close(ended)
+	every := func(rate float64, do func(n int)) {
+		if rate <= 0 {
+			return
+		}
+		ticker := time.NewTicker(10 * time.Millisecond)
+		defer ticker.Stop()
+		begun, n := time.Now(), 0
+		for {
+			select {
+			case <-ended:
+				return
+			case <-ticker.C:
+			}
+			for owed := int(rate * time.Since(begun).Seconds()); n < owed; n++ {
+				do(n)
+			}
+		}
+	}
+	for lines.Scan() {
+		word, value, _ := strings.Cut(lines.Text(), " ")
+		switch word {
+		case "listed":
+			for i := range nodes {
+				for !nodes[i].Load().Seen().Listed {
+					time.Sleep(pollPause)
+				}
+			}
+			_, _ = fmt.Fprintln(out, 0)
+		case "go":
+			go every(t.Members, func(n int) {
+				i := rand.Intn(len(nodes))
+				nodes[i].Load().Stop()
+				begin(i)
+				done.Add(1)
+			})
+			go every(t.Claims, func(n int) {
+				node := nodes[n%len(nodes)].Load()
+				go func() {
+					if node.Claim(fmt.Sprint(t.First, "-", n, "-", rand.Uint64())) {
+						done.Add(1)
+					}
+				}()
+			})
+			go every(t.Reports, func(n int) {
+				node, backend := nodes[n%len(nodes)].Load(), n%t.Size.Backends
+				go func() {
+					if node.Report(parley.ServiceName(serviceName(backend%t.Size.Services)), parley.ServerID(backendName(backend)), parley.Up+parley.Health(n/t.Size.Backends%2)) {
+						done.Add(1)
+					}
+				}()
+			})
+			_, _ = fmt.Fprintln(out, 0)
+		case "done":
+			_, _ = fmt.Fprintln(out, done.Load())
+		case "rev":
+			rev, _ := strconv.ParseUint(value, 10, 64)
+			begun := time.Now()
+			for i := range nodes {
+				for nodes[i].Load().Seen().Rev < rev {
+					time.Sleep(pollPause)
+				}
+			}
+			_, _ = fmt.Fprintln(out, float64(time.Since(begun))/float64(time.Millisecond))
+		}
+	}
+	return nil
+}
