The list in packed parts; daemons alone keep to the platform's rate; tests of the driver

The first reading now lies anywhere in the pace that all together may keep; who has no list comes within 4 s. After each change of leader 594 rows went to every daemon as they are; parts are now made and packed once for all that are as far. Tests hold both.

--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -85,6 +85,9 @@
 	// crowds are rows of fellows packed, by what those told know, as of crowdsOf.
 	crowdsOf parley.Epoch
 	crowds   map[parley.Epoch][]byte
+	// pages are parts of the list, by what lies before them, as of pagesOf.
+	pagesOf parley.Epoch
+	pages   map[parley.ServerID]*parley.ListPart
 
 	refusals  atomic.Int64
 	balance   *vigil.Balance
@@ -463,6 +466,28 @@
 	return part
 }
 
+// page gives the part of the list behind an id, made once for all that are as
+// far while nothing changes.
+func (f *Forum) page(now time.Duration, after parley.ServerID) (page *parley.ListPart) {
+	if f.pages == nil || f.pagesOf != f.clock.Now() {
+		f.pagesOf, f.pages = f.clock.Now(), map[parley.ServerID]*parley.ListPart{}
+	}
+	page = f.pages[after]
+	if page != nil {
+		return page
+	}
+	page = f.part(now, after)
+	cold := false
+	for _, state := range page.States {
+		cold = cold || state.Cold > 0
+	}
+	// What is left of a cold spell is another thing a moment later.
+	if len(page.Servers) > packedLeast && page.Pack() == nil && !cold && len(f.pages) < partsMost {
+		f.pages[after] = page
+	}
+	return page
+}
+
 // part gives the part of the list behind an id.
 func (f *Forum) part(now time.Duration, after parley.ServerID) (part *parley.ListPart) {
 	var ids []parley.ServerID
@@ -502,7 +527,7 @@
 	// The list is told only once it is whole; a fellow that lacks it gets it in
 	// parts, and beside them what changed since it first came.
 	if !ask.Listed && f.list.Walked {
-		news.Part = f.part(now, ask.ListAt)
+		news.Part = f.page(now, ask.ListAt)
 	}
 	if listSince := ask.Epoch; ask.Term == f.term && (ask.Listed || f.list.Walked) {
 		f.list.Servers.Since(listSince, func(_ parley.ServerID, server parley.Server, gone bool) {
--- a/internal/forum/forum_test.go
+++ b/internal/forum/forum_test.go
@@ -66,9 +66,15 @@
 		}
 		var news parley.News
 		f.tell(ask, &news)
-		if news.Part == nil || len(news.Part.Servers) > partRows {
-			t.Fatalf("part %d is missing or too large", parts)
+		if news.Part == nil {
+			t.Fatalf("part %d is missing", parts)
 		}
+		// A part is made once for all that are as far, so it is unpacked in a copy.
+		part := *news.Part
+		if err := part.Unpack(); err != nil || len(part.Servers) > partRows {
+			t.Fatalf("part %d has %d rows: %v", parts, len(part.Servers), err)
+		}
+		news.Part = &part
 		for _, row := range news.Part.Servers {
 			known[row.ID] = true
 		}
--- a/internal/parley/words.go
+++ b/internal/parley/words.go
@@ -283,6 +283,8 @@
 type ListPart struct {
 	Servers []Server
 	States  []State
+	// Packed are the same rows, packed, where they are many.
+	Packed []byte
 	// From is the last id that was told before, At the last one now; Done tells
 	// that nothing is behind it.
 	From ServerID
@@ -290,6 +292,37 @@
 	Done bool
 }
 
+// listRows are what a part packs.
+type listRows struct {
+	Servers []Server
+	States  []State
+}
+
+// Pack packs the rows of a part.
+func (p *ListPart) Pack() (err error) {
+	packed, err := Pack([]listRows{{p.Servers, p.States}})
+	if err == nil {
+		p.Packed, p.Servers, p.States = packed, nil, nil
+	}
+	return err
+}
+
+// Unpack gives a part its rows back.
+func (p *ListPart) Unpack() (err error) {
+	if p.Packed == nil {
+		return nil
+	}
+	rows, err := UnpackRows[listRows](p.Packed)
+	if err != nil {
+		return err
+	}
+	if len(rows) != 1 {
+		return Class.New("a part of the list with %d sets of rows", len(rows))
+	}
+	p.Servers, p.States, p.Packed = rows[0].Servers, rows[0].States, nil
+	return nil
+}
+
 // Burden is how many requests a fellow has at work at a service.
 type Burden struct {
 	Service ServiceName
--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -31,6 +31,11 @@
 	freesMost   = 128
 	freesHeld   = 8192
 	freesPause  = 250 * time.Millisecond
+	alonePause  = 500 * time.Millisecond
+	// lonelyFirst is the time within which a daemon without a list reads it first;
+	// listPage is about how many backends a page of the platform's holds.
+	lonelyFirst = 4 * time.Second
+	listPage    = 50
 )
 
 // Link ties the daemon to its leader.
@@ -272,21 +277,43 @@
 		return
 	}
 	platform := census.NewPlatform(l.props.PlatformAddress)
-	for !l.ended() {
-		time.Sleep(500 * time.Millisecond)
+	var due time.Duration
+	for alone := false; !l.ended(); {
+		time.Sleep(alonePause)
 		if l.Led() {
+			alone = false
+			continue
+		}
+		scene := l.world.Scene()
+		now := l.clock.Now()
+		if !alone {
+			// All lose a leader in the same moment, so the first reading of each lies
+			// anywhere within the pace that all together may keep. Who has no list at
+			// all cannot serve and comes sooner.
+			spread := l.lonePace(len(scene.Fellows), scene.backends())
+			if !scene.Listed {
+				spread = min(spread, lonelyFirst)
+			}
+			alone, due = true, now+time.Duration(rand.Float64()*float64(spread))
+		}
+		if now < due {
 			continue
 		}
-		fleet := max(4, len(l.world.Scene().Fellows))
 		walk, pages, err := platform.Walk(100*time.Millisecond, func([]parley.Server) {})
 		if err == nil && !l.Led() {
 			l.world.TakeList(walk)
 		}
-		pace := time.Duration(float64(2*fleet*max(1, pages)) / max(l.props.PlatformRate, 0.1) * float64(time.Second))
-		time.Sleep(max(pace, time.Second))
+		due = l.clock.Now() + max(l.lonePace(len(scene.Fellows), pages*listPage), time.Second)
 	}
 }
 
+// lonePace is how often each of so many daemons may read a list of so many
+// backends by itself.
+func (l *Link) lonePace(fellows, backends int) (pace time.Duration) {
+	pages := max(1, (backends+listPage-1)/listPage)
+	return time.Duration(float64(2*max(4, fellows)*pages) / max(l.props.PlatformRate, 0.1) * float64(time.Second))
+}
+
 // Claim asks the cores for a key, again where a try had no clear outcome: to
 // claim twice for one request is the same as once. It waits for a leader no
 // longer than patience.
--- a/internal/passage/patience_test.go
+++ b/internal/passage/patience_test.go
@@ -89,3 +89,17 @@
 		t.Fatal("the part that follows was not taken")
 	}
 }
+
+// However many daemons lose their leader at once, together they stay under the
+// platform's rate: a list of 600 backends is 12 calls.
+func TestDaemonsAloneKeepTogetherToThePlatformsRate(t *testing.T) {
+	d := daemonOf(t)
+	d.link.props.PlatformRate = 44
+	pace := d.link.lonePace(295, 594)
+	if calls := 295 * 12 / pace.Seconds(); calls > 22.1 || calls < 20 {
+		t.Fatalf("295 daemons make %.1f calls a second at a pace of %s", calls, pace)
+	}
+	if small := d.link.lonePace(0, 20); small > time.Second {
+		t.Fatalf("a daemon that knows no other waits %s", small)
+	}
+}
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -40,6 +40,14 @@
 	Rev     uint64
 }
 
+// backends counts all.
+func (s *Scene) backends() (count int) {
+	for _, servers := range s.Services {
+		count += len(servers)
+	}
+	return count
+}
+
 // World keeps it.
 type World struct {
 	props props.Props
@@ -116,6 +124,12 @@
 		}
 		news.Items = items
 	}
+	if news.Part != nil {
+		if err := news.Part.Unpack(); err != nil {
+			w.log.Say(events.PropsRefused, "problem", err.Error())
+			return
+		}
+	}
 	if news.Crowd != nil {
 		fellows, err := parley.UnpackRows[parley.FellowChange](news.Crowd)
 		if err != nil {
