A client's own few in the directory's answers, and one of another site among them

Clients bound to homes elsewhere got 64 drawn anew from 196 each time and dropped most of their streams every two seconds. Answers are now chosen by hash of daemon and client address, and stay. Sites with fewer than six daemons keep their answers.

--- a/internal/dayplan/day_test.go
+++ b/internal/dayplan/day_test.go
@@ -177,7 +177,7 @@
 	if asked == nil {
 		return nil
 	}
-	addresses := passage.Directions(fellows, absent, nil, asked.weights, string(region), string(region))
+	addresses := passage.Directions(fellows, absent, nil, asked.weights, string(region), string(region), "")
 	front := addresses[d.luck.Intn(len(addresses))]
 	for _, candidate := range d.edges {
 		if candidate.Front == front {
--- a/internal/office/office.go
+++ b/internal/office/office.go
@@ -185,6 +185,14 @@
 // MaxCall bounds the body of a call.
 const MaxCall = 32 << 20
 
+type callerKey struct{}
+
+// Caller is the address of who asks, empty where it is not known.
+func Caller(ctx context.Context) (address string) {
+	address, _ = ctx.Value(callerKey{}).(string)
+	return address
+}
+
 // Handler makes the generated server for some duties.
 func Handler(duties Duties) (handler http.Handler, err error) {
 	mine := office{duties}
@@ -201,6 +209,11 @@
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		r.Body = http.MaxBytesReader(w, r.Body, MaxCall)
+		if duties.Resolve != nil {
+			if host, _, splitErr := net.SplitHostPort(r.RemoteAddr); splitErr == nil {
+				r = r.WithContext(context.WithValue(r.Context(), callerKey{}, host))
+			}
+		}
 		server.ServeHTTP(w, r)
 	}), nil
 }
--- a/internal/passage/daemon.go
+++ b/internal/passage/daemon.go
@@ -211,9 +211,9 @@
 }
 
 // resolve tells a client where to go.
-func (d *Daemon) resolve(_ context.Context, host, region, site string) (addresses []string, ttl time.Duration, err error) {
+func (d *Daemon) resolve(ctx context.Context, host, region, site string) (addresses []string, ttl time.Duration, err error) {
 	scene := d.world.Scene()
-	addresses = Directions(scene.Fellows, d.world.Absent(), scene.View.Homes(host), d.planned(scene, host), region, site)
+	addresses = Directions(scene.Fellows, d.world.Absent(), scene.View.Homes(host), d.planned(scene, host), region, site, office.Caller(ctx))
 	if len(addresses) == 0 && d.isReady() {
 		addresses = []string{d.props.Front}
 	}
--- a/internal/passage/directions.go
+++ b/internal/passage/directions.go
@@ -3,7 +3,10 @@
 // where there are any, and some answer while any daemon is known at all. Where
 // keyed ways of a host are bound to some regions, clients from elsewhere are
 // sent to daemons of those regions: the requests have to go there anyhow, and
-// only there may their answers be kept for a repeat.
+// only there may their answers be kept for a repeat. Where there are many, each
+// client gets a few of its own, which stay the same from answer to answer, since
+// clients drop streams to those an answer lacks; and one of another site among
+// them, since a client that knows its own site only is lost with it.
 package passage
 
 import (
@@ -13,19 +16,23 @@
 
 	"tinpin/internal/dayplan"
 	"tinpin/internal/parley"
+	"tinpin/internal/vigil"
 )
 
 const (
-	directionsTTL  = 2 * time.Second
-	directionsMost = 64
-	directionsFew  = 2
+	directionsTTL = 2 * time.Second
+	directionsFew = 2
+	// directionsOwn is how many of its own site a client gets where there are so
+	// many, and directionsAway how many of others beside them.
+	directionsOwn  = 6
+	directionsAway = 1
 )
 
 // Directions lists front addresses for a client of a site and a host's homes.
 // Under a day's plan a region is drawn by the weights, within the homes, and
 // takes the place of the client's own; where nobody is ready there, the answer
 // is as it is without a plan.
-func Directions(fellows map[parley.FellowID]parley.Fellow, absent map[parley.FellowID]bool, homes []string, weights dayplan.Weights, region, site string) (addresses []string) {
+func Directions(fellows map[parley.FellowID]parley.Fellow, absent map[parley.FellowID]bool, homes []string, weights dayplan.Weights, region, site, client string) (addresses []string) {
 	if drawn := draw(fellows, absent, homes, weights, region); drawn != "" && drawn != region {
 		region, site = drawn, ""
 	}
@@ -39,40 +46,66 @@
 		}
 		return 2
 	}
-	pick := func(unheard bool) (near [3][]string) {
+	pick := func(unheard bool) (near [3][]direction) {
 		for id, fellow := range fellows {
 			if !fellow.Ready || fellow.Stopping || fellow.Front == "" || absent[id] != unheard {
 				continue
 			}
 			far := distance(fellow)
-			near[far] = append(near[far], fellow.Front)
-		}
-		for i := range near {
-			sort.Strings(near[i])
+			near[far] = append(near[far], direction{fellow.Front, id})
 		}
 		return near
 	}
 	for _, unheard := range []bool{false, true} {
 		near := pick(unheard)
-		addresses = append(addresses, near[0]...)
+		addresses = append(addresses, few(near[0], client, directionsOwn)...)
 		if len(addresses) < directionsFew {
-			addresses = append(addresses, near[1]...)
+			addresses = append(addresses, few(near[1], client, directionsOwn)...)
 		}
 		if len(addresses) < directionsFew {
-			addresses = append(addresses, near[2]...)
+			addresses = append(addresses, few(near[2], client, directionsOwn)...)
+		}
+		if len(addresses) == directionsOwn && !away {
+			if others := append(few(near[1], client, directionsAway), few(near[2], client, directionsAway)...); len(others) > 0 {
+				addresses = append(addresses, others[:directionsAway]...)
+			}
 		}
 		if len(addresses) > 0 {
 			break
 		}
 	}
-	if len(addresses) > directionsMost {
-		// Not always the same ones, so that all of a large site carry.
-		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-		addresses = addresses[:directionsMost]
-	}
 	return addresses
 }
 
+// direction is one daemon that an answer may name.
+type direction struct {
+	front string
+	id    parley.FellowID
+}
+
+// few picks a client's own of many: those that rank highest for it, so that a
+// daemon more or less changes the answers of its own clients only.
+func few(all []direction, client string, most int) (fronts []string) {
+	if len(all) > most {
+		ranks := make(map[parley.FellowID]uint64, len(all))
+		for _, one := range all {
+			ranks[one.id] = vigil.Rank(string(one.id), client)
+		}
+		sort.Slice(all, func(i, j int) bool {
+			if ranks[all[i].id] != ranks[all[j].id] {
+				return ranks[all[i].id] < ranks[all[j].id]
+			}
+			return all[i].id < all[j].id
+		})
+		all = all[:most]
+	}
+	for _, one := range all {
+		fronts = append(fronts, one.front)
+	}
+	sort.Strings(fronts)
+	return fronts
+}
+
 // draw picks a region by weight, of those that are homes and have a daemon that
 // is ready; a client's own region is kept where it has its part.
 func draw(fellows map[parley.FellowID]parley.Fellow, absent map[parley.FellowID]bool, homes []string, weights dayplan.Weights, own string) (region string) {
--- a/internal/passage/passage_test.go
+++ b/internal/passage/passage_test.go
@@ -1,6 +1,7 @@
 package passage
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -373,7 +374,7 @@
 		for _, id := range absent {
 			away[id] = true
 		}
-		if got := strings.Join(Directions(fellows, away, homes, nil, region, site), " "); got != want {
+		if got := strings.Join(Directions(fellows, away, homes, nil, region, site, "client"), " "); got != want {
 			t.Errorf("%s %s: %q, want %q", region, site, got, want)
 		}
 	}
@@ -389,6 +390,51 @@
 	check("south", "c", "a1 a2 b1")
 }
 
+// Of many daemons each client gets a few of its own that stay the same, and one
+// of another site, so that it is not lost with its own.
+func TestDirectionsOfManyDaemons(t *testing.T) {
+	fellows := map[parley.FellowID]parley.Fellow{}
+	for n := 0; n < 120; n++ {
+		site := fmt.Sprint("site-", n%3)
+		id := parley.FellowID(fmt.Sprintf("%s-%d", site, n))
+		fellows[id] = parley.Fellow{ID: id, Site: parley.SiteName(site), Region: "north", Front: string(id), Ready: true}
+	}
+	named := map[string]int{}
+	changed := 0
+	for c := 0; c < 300; c++ {
+		client := fmt.Sprint("10.0.0.", c)
+		answer := Directions(fellows, nil, nil, nil, "north", "site-0", client)
+		own := 0
+		for _, address := range answer {
+			named[address]++
+			if strings.HasPrefix(address, "site-0") {
+				own++
+			}
+		}
+		if len(answer) != directionsOwn+directionsAway || own != directionsOwn {
+			t.Fatalf("%v", answer)
+		}
+		if again := Directions(fellows, nil, nil, nil, "north", "site-0", client); strings.Join(again, " ") != strings.Join(answer, " ") {
+			t.Fatalf("%v, then %v", answer, again)
+		}
+		lost := Directions(fellows, map[parley.FellowID]bool{"site-0-0": true}, nil, nil, "north", "site-0", client)
+		if strings.Join(lost, " ") != strings.Join(answer, " ") {
+			changed++
+		}
+	}
+	if want := named["site-0-0"]; changed != want {
+		t.Errorf("a daemon that is lost changes %d answers, it was named in %d", changed, want)
+	}
+	for n := 0; n < 120; n += 3 {
+		if count := named[fmt.Sprintf("site-0-%d", n)]; count < 22 || count > 75 {
+			t.Errorf("site-0-%d is named to %d of 300 clients, the mean is 45", n, count)
+		}
+	}
+	if far := Directions(fellows, nil, []string{"north"}, nil, "south", "elsewhere", "c"); len(far) != directionsOwn {
+		t.Errorf("a client from elsewhere gets %v", far)
+	}
+}
+
 // A request over its tenant's limit is refused before anything is taken.
 func TestOverLimitTakesNothing(t *testing.T) {
 	backend := newStandIn(t, "i-1", good)
