What is not known yet is taken from the aim, not from a fixed 120 ms

An answer is now taken to need 0.28 of its aim until something is known, and a backend is in doubt by what its service usually takes. The new test fails on the code before.

--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -275,7 +275,7 @@
 // wanted says what backend a plan's next round is for.
 func (d *Daemon) wanted(plan *Plan, tried []parley.ServerID) (wanted Wanted) {
 	wanted = Wanted{
-		Service: plan.Service, Homes: plan.Way.Homes, Tried: tried, Repeatable: plan.Way.Repeat.Repeatable(), Large: plan.Way.Repeat == canon.Download,
+		Service: plan.Service, Aim: plan.Way.Aim, Homes: plan.Way.Homes, Tried: tried, Repeatable: plan.Way.Repeat.Repeatable(), Large: plan.Way.Repeat == canon.Download,
 		Weights: d.world.Orders.Weights(plan.Request.Host, plan.Service),
 	}
 	if plan.Bound != "" {
--- a/internal/passage/choose.go
+++ b/internal/passage/choose.go
@@ -25,6 +25,9 @@
 	handicapDoubt  = 500
 	handicapAsleep = 5000
 	usualPace      = 120
+	// aimPart of a way's aim is what an answer is taken to need while nothing is
+	// known of its service.
+	aimPart = 0.28
 	// goodCost is how many calm times an answer may be expected to take before
 	// others than a daemon's own few are looked at.
 	goodCost = 1.6
@@ -41,8 +44,10 @@
 // Wanted says what a backend is wanted for.
 type Wanted struct {
 	Service parley.ServiceName
-	Homes   []string
-	Tried   []parley.ServerID
+	// Aim is the time within which the answer is wanted, 0 where none is set.
+	Aim   time.Duration
+	Homes []string
+	Tried []parley.ServerID
 	// Repeatable tells that the request may run twice.
 	Repeatable bool
 	// Weights are the day's plan, nil where there is none: regions that it gives
@@ -57,6 +62,15 @@
 	Large bool
 }
 
+// pace is what an answer is taken to need, in milliseconds, while nothing is
+// known: a part of what its operator aims at.
+func (w Wanted) pace() (pace float64) {
+	if w.Aim <= 0 {
+		return usualPace
+	}
+	return aimPart * float64(w.Aim) / float64(time.Millisecond)
+}
+
 func (w Wanted) tried(id parley.ServerID) bool {
 	for _, tried := range w.Tried {
 		if tried == id {
@@ -97,7 +111,7 @@
 // choose names the backend, or tells whether there is any at all. The daemon's
 // own few are looked at first, the rest only where those have nothing good.
 func (w *World) choose(scene *Scene, wanted Wanted) (chosenServer *Server, any bool) {
-	c := &chooser{world: w, scene: scene, wanted: wanted, now: w.clock.Now(), calm: usualPace, border: 1}
+	c := &chooser{world: w, scene: scene, wanted: wanted, now: w.clock.Now(), calm: wanted.pace(), border: 1}
 	if service := scene.View.Services[string(wanted.Service)]; service != nil {
 		c.streams = service.Streams
 	}
@@ -109,7 +123,7 @@
 		if server == nil {
 			return nil, false
 		}
-		c.calm = server.habit.Calm(usualPace)
+		c.calm = server.habit.Calm(c.calm)
 		if c.weigh(server, true); c.best == nil {
 			c.best = c.out
 		}
@@ -117,9 +131,9 @@
 	}
 	near, beyond := scene.Near[wanted.Service], scene.Beyond[wanted.Service]
 	if len(near) > 0 {
-		c.calm = near[0].habit.Calm(usualPace)
+		c.calm = near[0].habit.Calm(c.calm)
 	} else if len(beyond) > 0 {
-		c.calm = beyond[0].habit.Calm(usualPace)
+		c.calm = beyond[0].habit.Calm(c.calm)
 	}
 	for _, server := range near {
 		c.weigh(server, true)
@@ -178,7 +192,7 @@
 		queue = min(queue, float64(server.burden))
 	}
 	cost := pace * (1 + queue)
-	if server.doubted(now) {
+	if server.doubted(now, c.calm) {
 		cost += handicapDoubt
 	}
 	cost *= 1 + badWeight*server.badness(now)
--- a/internal/passage/server.go
+++ b/internal/passage/server.go
@@ -289,20 +289,24 @@
 }
 
 // doubted tells that the backend owes an answer for longer than is usual and
-// has said nothing at all meanwhile; it may have gone dark. The caller holds
-// the lock.
-func (s *Server) doubted(now time.Duration) bool {
+// has said nothing at all meanwhile; it may have gone dark. What is usual where
+// it has not answered yet is given. The caller holds the lock.
+func (s *Server) doubted(now time.Duration, unknown float64) bool {
 	if s.burden == 0 {
 		return false
 	}
-	return now-max(s.sentAt, s.heardAt) > doubtLeast+time.Duration(s.pace*float64(time.Millisecond))
+	usual := s.pace
+	if s.paceAt == 0 {
+		usual = unknown
+	}
+	return now-max(s.sentAt, s.heardAt) > doubtLeast+time.Duration(usual*float64(time.Millisecond))
 }
 
 // doubtful tells that a backend is held out here, or owes answers.
 func (s *Server) doubtful(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now < s.outTill || now < s.coldTill || s.doubted(now)
+	return now < s.outTill || now < s.coldTill || s.doubted(now, s.habit.Calm(usualPace))
 }
 
 // leaving tells that the platform has said so.
--- a/internal/passage/subset_test.go
+++ b/internal/passage/subset_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"tinpin/internal/parley"
 )
@@ -77,3 +78,28 @@
 		}
 	}
 }
+
+// A daemon that knows nothing yet of a service whose answers take long keeps to
+// its own region: it neither takes what it has not tried for fast, nor what is at
+// work for dark.
+func TestADaemonThatKnowsNothingStaysNear(t *testing.T) {
+	d := daemonOf(t)
+	var rows []parley.Server
+	for n := 0; n < 12; n++ {
+		rows = append(rows, parley.Server{ID: parley.ServerID(fmt.Sprintf("near-%d", n)), Service: "s", Address: "x:1", Site: "here", Slots: 6}, parley.Server{ID: parley.ServerID(fmt.Sprintf("far-%d", n)), Service: "s", Address: "x:1", Site: "there", Slots: 6})
+	}
+	d.world.Take(d.clock.Now(), &parley.News{Leader: true, Term: 2, Epoch: 2, Full: true, Rev: 1, ItemAt: parley.AllItems, Part: &parley.ListPart{Done: true, Servers: rows}})
+	scene := d.world.Scene()
+	wanted := Wanted{Service: "s", Aim: 2 * time.Second, Repeatable: true}
+	for n := 0; n < 24; n++ {
+		server, _ := d.world.choose(scene, wanted)
+		if server == nil || server.Site != "here" {
+			t.Fatalf("request %d goes to %+v", n, server)
+		}
+		// They are all still at work, a third of a second later.
+		server.begin(d.clock.Now())
+		server.mu.Lock()
+		server.sentAt, server.heardAt = d.clock.Now()-300*time.Millisecond, -time.Second
+		server.mu.Unlock()
+	}
+}
