Lending at the same cost however many hold; tenants told of in turn; long lists read less often

Cause (load driver, 60 hollow nodes): with 3,000 tenants the nodes did not settle within 90 s, since every beat told of every tenant and each loan went through all its holders twice. The book keeps a running sum, demands one sum a limit, and a beat tells of active tenants and 256 others in turn. Tests hold sums, turns and interval.

--- a/cmd/tinpin-load/main.go
+++ b/cmd/tinpin-load/main.go
@@ -22,6 +22,7 @@
   tinpin-load [-span TIME] [-json] [SIZE..]                 one size
   tinpin-load [-span TIME] [-json] [SIZE..] -vary NAME=A,B,..  several, one variable changed
   tinpin-load [-json] -path REQUESTS                        what the request path adds
+  tinpin-load -reckon FOLDER                                slopes and totals of kept points
 
 SIZE is -nodes, -backends, -services, -routes, -tenants, and a second each -changes
 (of the configuration), -members (nodes that start anew), -claims (of keys) and
@@ -63,6 +64,7 @@
 	asJSON := set.Bool("json", false, "")
 	vary := set.String("vary", "", "")
 	path := set.Int("path", 0, "")
+	reckon := set.String("reckon", "", "")
 	if err := set.Parse(args); err != nil {
 		if err == flag.ErrHelp {
 			_, _ = io.WriteString(out, usage)
@@ -73,6 +75,14 @@
 	if set.NArg() > 0 {
 		return wrong(fmt.Errorf("what is %q? see 'tinpin-load -help'", set.Arg(0)))
 	}
+	if *reckon != "" {
+		sweeps, err := strain.Sweeps(*reckon)
+		if err != nil {
+			return wrong(err)
+		}
+		_, _ = io.WriteString(out, strain.Table(sweeps))
+		return 0
+	}
 	told := report{Commit: commit()}
 	if *path != 0 {
 		point, err := strain.MeasurePath(*path)
--- a/internal/allot/book.go
+++ b/internal/allot/book.go
@@ -8,6 +8,7 @@
 package allot
 
 import (
+	"math"
 	"time"
 
 	"tinpin/internal/parley"
@@ -24,11 +25,38 @@
 	until  time.Duration
 }
 
+// account is one bound's record. Its sum is kept as loans come and is reckoned
+// anew only when a loan may have run out, so that a loan costs the same however
+// many holders there are.
+type account struct {
+	holders map[parley.FellowID][]loan
+	sum     float64
+	next    time.Duration
+}
+
+// of is what a holder may be using, while nothing has run out since settle.
+func (a *account) of(holder parley.FellowID) (most float64) {
+	for _, loan := range a.holders[holder] {
+		most = max(most, loan.amount)
+	}
+	return most
+}
+
+// put replaces a holder's loans.
+func (a *account) put(holder parley.FellowID, loans []loan) {
+	before := a.of(holder)
+	a.holders[holder] = loans
+	a.sum += a.of(holder) - before
+	for _, loan := range loans {
+		a.next = min(a.next, loan.until)
+	}
+}
+
 // Book is the lender's record.
 type Book struct {
-	span   time.Duration
-	opened time.Duration
-	loans  map[Key]map[parley.FellowID][]loan
+	span     time.Duration
+	opened   time.Duration
+	accounts map[Key]*account
 }
 
 // Unwaited opens a book that has no predecessor, so nothing can be lent yet.
@@ -36,57 +64,62 @@
 
 // NewBook opens at now; span is how long a share lasts.
 func NewBook(now, span time.Duration) (book *Book) {
-	return &Book{span: span, opened: now, loans: map[Key]map[parley.FellowID][]loan{}}
+	return &Book{span: span, opened: now, accounts: map[Key]*account{}}
 }
 
-// Lend gives a fellow as much as it wants of what is free of a bound.
-func (b *Book) Lend(now time.Duration, key Key, bound float64, window time.Duration, to parley.FellowID, want float64) (lease parley.Lease, given bool) {
-	if now < b.opened+b.span+window {
-		return lease, false
+// settle gives a bound's record without what has run out by now.
+func (b *Book) settle(now time.Duration, key Key) (settled *account) {
+	settled = b.accounts[key]
+	if settled == nil {
+		settled = &account{holders: map[parley.FellowID][]loan{}, next: math.MaxInt64}
+		b.accounts[key] = settled
 	}
-	taken := 0.0
-	holders := b.loans[key]
-	if holders == nil {
-		holders = map[parley.FellowID][]loan{}
-		b.loans[key] = holders
+	if now < settled.next {
+		return settled
 	}
-	for holder, loans := range holders {
+	settled.sum, settled.next = 0, math.MaxInt64
+	for holder, loans := range settled.holders {
 		kept := loans[:0]
-		most := 0.0
 		for _, loan := range loans {
 			if loan.until > now {
 				kept = append(kept, loan)
-				most = max(most, loan.amount)
+				settled.next = min(settled.next, loan.until)
 			}
 		}
 		if len(kept) == 0 {
-			delete(holders, holder)
+			delete(settled.holders, holder)
 			continue
 		}
-		holders[holder] = kept
-		if holder != to {
-			taken += most
-		}
+		settled.holders[holder] = kept
+		settled.sum += settled.of(holder)
 	}
-	amount := min(want, bound-taken)
+	return settled
+}
+
+// Lend gives a fellow as much as it wants of what is free of a bound.
+func (b *Book) Lend(now time.Duration, key Key, bound float64, window time.Duration, to parley.FellowID, want float64) (lease parley.Lease, given bool) {
+	if now < b.opened+b.span+window {
+		return lease, false
+	}
+	settled := b.settle(now, key)
+	amount := min(want, bound-(settled.sum-settled.of(to)))
 	if amount <= 0 {
 		return lease, false
 	}
 	// A loan that a newer one of at least its size outlasts is of no more account.
-	until := now + b.span + window
-	kept := holders[to][:0]
-	for _, loan := range holders[to] {
+	kept := make([]loan, 0, 2)
+	for _, loan := range settled.holders[to] {
 		if loan.amount > amount {
 			kept = append(kept, loan)
 		}
 	}
-	holders[to] = append(kept, loan{amount, until})
+	settled.put(to, append(kept, loan{amount, now + b.span + window}))
 	return parley.Lease{Kind: key.Kind, Key: key.Name, Amount: amount, Span: b.span}, true
 }
 
 // LendWhole lends at least the given least or nothing.
 func (b *Book) LendWhole(now time.Duration, key Key, bound float64, window time.Duration, to parley.FellowID, want, least float64) (lease parley.Lease, given bool) {
-	if bound-b.lentBut(now, key, to) < least {
+	if settled := b.settle(now, key); bound-(settled.sum-settled.of(to)) < least {
 		return lease, false
 	}
 	return b.Lend(now, key, bound, window, to, want)
@@ -95,34 +128,19 @@
 // Renew prolongs what a fellow already holds under a predecessor: it is part of
 // what may be in use anyhow, so it needs no waiting.
 func (b *Book) Renew(now time.Duration, key Key, window time.Duration, to parley.FellowID, amount float64) (lease parley.Lease) {
-	if b.loans[key] == nil {
-		b.loans[key] = map[parley.FellowID][]loan{}
-	}
-	b.loans[key][to] = append(b.loans[key][to][:0], loan{amount, now + b.span + window})
+	b.settle(now, key).put(to, []loan{{amount, now + b.span + window}})
 	return parley.Lease{Kind: key.Kind, Key: key.Name, Amount: amount, Span: b.span}
 }
 
 // Forget drops a bound that is no more.
-func (b *Book) Forget(key Key) { delete(b.loans, key) }
+func (b *Book) Forget(key Key) { delete(b.accounts, key) }
 
 // Lent sums what may be in use of a bound.
-func (b *Book) Lent(now time.Duration, key Key) (sum float64) { return b.lentBut(now, key, "") }
-
-// lentBut leaves one holder out.
-func (b *Book) lentBut(now time.Duration, key Key, but parley.FellowID) (sum float64) {
-	for holder, loans := range b.loans[key] {
-		if holder == but {
-			continue
-		}
-		most := 0.0
-		for _, loan := range loans {
-			if loan.until > now {
-				most = max(most, loan.amount)
-			}
-		}
-		sum += most
+func (b *Book) Lent(now time.Duration, key Key) (sum float64) {
+	if b.accounts[key] == nil {
+		return 0
 	}
-	return sum
+	return b.settle(now, key).sum
 }
 
 // Shares is a holder's purse of leases.
--- a/internal/allot/lender.go
+++ b/internal/allot/lender.go
@@ -53,12 +53,36 @@
 	at   time.Duration
 }
 
+// demands are what fellows want of one limit, with their sum; the old ones are
+// looked for once a second.
+type demands struct {
+	of    map[parley.FellowID]wanted
+	sum   float64
+	swept time.Duration
+}
+
+func (d *demands) note(now time.Duration, from parley.FellowID, rate float64) (sum float64) {
+	d.sum += rate - d.of[from].rate
+	d.of[from] = wanted{rate, now}
+	if now-d.swept > time.Second {
+		d.swept, d.sum = now, 0
+		for id, want := range d.of {
+			if now-want.at > demandAge {
+				delete(d.of, id)
+				continue
+			}
+			d.sum += want.rate
+		}
+	}
+	return d.sum
+}
+
 // Lender lends the limits of one kind.
 type Lender struct {
 	kinds  Kinds
 	shares *Book
 	floors *Book
-	wanted map[string]map[parley.FellowID]wanted
+	wanted map[string]*demands
 }
 
 // NewLender lends tenants' limits.
@@ -69,7 +93,7 @@
 // NewLenderOf starts a leadership; the first of all has no predecessor whose
 // loans it would have to wait for.
 func NewLenderOf(kinds Kinds, now, span time.Duration, first bool) (lender *Lender) {
-	lender = &Lender{kinds: kinds, shares: NewBook(now, span), floors: NewBook(now, kinds.FloorSpan), wanted: map[string]map[parley.FellowID]wanted{}}
+	lender = &Lender{kinds: kinds, shares: NewBook(now, span), floors: NewBook(now, kinds.FloorSpan), wanted: map[string]*demands{}}
 	if first {
 		lender.shares, lender.floors = Unwaited(span), Unwaited(kinds.FloorSpan)
 	}
@@ -82,18 +106,10 @@
 	least := 1 / max(bound.Burst, 1)
 	wants := l.wanted[bound.Name]
 	if wants == nil {
-		wants = map[parley.FellowID]wanted{}
+		wants = &demands{of: map[parley.FellowID]wanted{}}
 		l.wanted[bound.Name] = wants
 	}
-	wants[to] = wanted{demand.Rate, now}
-	sum := 0.0
-	for id, want := range wants {
-		if now-want.at > demandAge {
-			delete(wants, id)
-			continue
-		}
-		sum += want.rate
-	}
+	sum := wants.note(now, to, demand.Rate)
 	floorKey := Key{l.kinds.Floor, bound.Name}
 	if floor := floorPart / float64(present+floorSpare); demand.Floor > 0 {
 		leases = append(leases, l.floors.Renew(now, floorKey, 0, to, demand.Floor))
--- a/internal/canon/view.go
+++ b/internal/canon/view.go
@@ -15,6 +15,7 @@
 	Services map[string]*Service
 	tenants  map[string]*Tenant
 	named    map[string]*Tenant
+	listed   []*Tenant
 	Limits   LimitItem
 	Ways     int
 }
@@ -44,6 +45,10 @@
 			view.Limits = *item.limits
 		}
 	}
+	for _, tenant := range view.named {
+		view.listed = append(view.listed, tenant)
+	}
+	slices.SortFunc(view.listed, func(one, other *Tenant) int { return strings.Compare(one.Name, other.Name) })
 	return view
 }
 
@@ -91,17 +96,8 @@
 	return v.tenants[PlainHost(host)]
 }
 
-// Tenants lists each tenant once.
-func (v *View) Tenants() (tenants []*Tenant) {
-	seen := map[*Tenant]bool{}
-	for _, tenant := range v.tenants {
-		if !seen[tenant] {
-			seen[tenant] = true
-			tenants = append(tenants, tenant)
-		}
-	}
-	return tenants
-}
+// Tenants lists each tenant once, by name; the list is not to be written to.
+func (v *View) Tenants() (tenants []*Tenant) { return v.listed }
 
 // TenantNamed gives a tenant by its name, nil where there is none.
 func (v *View) TenantNamed(name string) (tenant *Tenant) { return v.named[name] }
--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -19,6 +19,7 @@
 	"tinpin/internal/problem"
 	"tinpin/internal/props"
 	"tinpin/internal/retry"
+	"tinpin/internal/strain"
 )
 
 func page(t *testing.T, name string) (text string) {
@@ -196,3 +197,14 @@
 		}
 	}
 }
+
+// The totals of the capacity page are those of the points that are kept.
+func TestCapacityIsReckonedFromItsPoints(t *testing.T) {
+	sweeps, err := strain.Sweeps("../../docs/capacity")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if table := strain.Table(sweeps); !strings.Contains(page(t, "docs/CAPACITY.md"), table) {
+		t.Errorf("docs/CAPACITY.md does not hold what 'tinpin-load -reckon docs/capacity' prints:\n%s", table)
+	}
+}
--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -255,7 +255,7 @@
 	for {
 		begun := time.Now()
 		servers, pages, err := platform.Walk(min(pause, 100*time.Millisecond), func(page []parley.Server) { f.merge(page, false) })
-		interval := max(f.props.ListInterval, time.Duration(pages)*pause)
+		interval := listInterval(f.props.ListInterval, pause, pages)
 		if err != nil {
 			f.log.Say(events.ListFailed, "problem", err.Error())
 			interval = max(interval/2, time.Duration(pages)*pause)
@@ -270,6 +270,13 @@
 	}
 }
 
+// listInterval is how long after the beginning of a walk the next one begins. A
+// long list is read no more often than twice the time that a walk of it takes, as
+// each page is a call that is paid for.
+func listInterval(usual, pause time.Duration, pages int) (interval time.Duration) {
+	return max(usual, 2*time.Duration(pages)*pause)
+}
+
 // merge takes a page of the list, or the whole of a walk.
 func (f *Forum) merge(servers []parley.Server, whole bool) {
 	f.mu.Lock()
--- a/internal/forum/map_test.go
+++ b/internal/forum/map_test.go
@@ -65,3 +65,14 @@
 		t.Errorf("%d bytes a row", each)
 	}
 }
+
+// A walk of twelve pages comes round within the time in which a drain must be
+// heard of, and short lists are read as often as ever.
+func TestLongListsAreReadLessOften(t *testing.T) {
+	pause := 45 * time.Millisecond
+	for pages, want := range map[int]time.Duration{1: 700 * time.Millisecond, 7: 700 * time.Millisecond, 12: 1080 * time.Millisecond} {
+		if got := listInterval(700*time.Millisecond, pause, pages); got != want {
+			t.Errorf("%d pages are read every %s", pages, got)
+		}
+	}
+}
--- a/internal/passage/limits.go
+++ b/internal/passage/limits.go
@@ -14,6 +14,13 @@
 // hungerPause is the least time between two beats that a refusal brings about.
 const hungerPause = 150 * time.Millisecond
 
+const (
+	// demandsAtOnce idle tenants are told of with one beat; below idleRate requests
+	// a second a tenant is idle.
+	demandsAtOnce = 256
+	idleRate      = 0.01
+)
+
 // Limits keeps a bucket per tenant.
 type Limits struct {
 	part   func(kind parley.LeaseKind, tenant string) float64
@@ -22,6 +29,7 @@
 	mu     sync.Mutex
 	held   map[string]*allot.Bucket
 	hungry time.Duration
+	turn   int
 }
 
 // NewLimits draws on leased parts; hunger is called when a request was refused
@@ -66,6 +74,13 @@
 // Fill brings all buckets up to now; it is called before parts change.
 func (l *Limits) Fill(now time.Duration, tenants []*canon.Tenant) {
 	for _, tenant := range tenants {
+		l.mu.Lock()
+		bucket := l.held[tenant.Name]
+		l.mu.Unlock()
+		if bucket == nil && len(tenants) > demandsAtOnce {
+			// One that was never asked for has nothing to fill.
+			continue
+		}
 		part := l.parts(tenant.Name)
 		l.mu.Lock()
 		l.bucket(tenant.Name).Fill(now, boundOf(tenant), part)
@@ -73,13 +88,27 @@
 	}
 }
 
-// Demands tells what each tenant asks of this daemon.
+// Demands tells what tenants ask of this daemon: all that were asked for lately,
+// and of the others so many in turn that a beat stays small however many tenants
+// there are. What an idle tenant holds then is its floor.
 func (l *Limits) Demands(tenants []*canon.Tenant) (demands []parley.Demand) {
-	for _, tenant := range tenants {
-		floor := l.part(parley.TenantFloor, tenant.Name)
+	l.mu.Lock()
+	from := l.turn
+	if len(tenants) > demandsAtOnce {
+		l.turn = (l.turn + demandsAtOnce) % len(tenants)
+	}
+	l.mu.Unlock()
+	for i, tenant := range tenants {
+		inTurn := len(tenants) <= demandsAtOnce || (i-from+len(tenants))%len(tenants) < demandsAtOnce
 		l.mu.Lock()
-		demands = append(demands, parley.Demand{Tenant: tenant.Name, Rate: l.bucket(tenant.Name).Demand(), Floor: floor})
+		rate := 0.0
+		if bucket := l.held[tenant.Name]; bucket != nil {
+			rate = bucket.Demand()
+		}
 		l.mu.Unlock()
+		if inTurn || rate > idleRate {
+			demands = append(demands, parley.Demand{Tenant: tenant.Name, Rate: rate, Floor: l.part(parley.TenantFloor, tenant.Name)})
+		}
 	}
 	return demands
 }
--- /dev/null
+++ b/internal/passage/limits_test.go
@@ -0,0 +1,38 @@
+package passage
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"tinpin/internal/canon"
+	"tinpin/internal/parley"
+)
+
+// With more tenants than a beat may tell of, all come round in turn, and those
+// that are asked for are told of with each beat.
+func TestDemandsOfManyTenantsComeInTurn(t *testing.T) {
+	var tenants []*canon.Tenant
+	for n := 0; n < 4*demandsAtOnce; n++ {
+		tenants = append(tenants, &canon.Tenant{Name: fmt.Sprintf("t-%04d", n), Rate: 100, Burst: 100})
+	}
+	limits := NewLimits(func(kind parley.LeaseKind, tenant string) float64 { return 0.5 }, nil)
+	busy := tenants[7]
+	told := map[string]int{}
+	for beat := 0; beat < 4; beat++ {
+		limits.Admit(time.Duration(beat)*time.Millisecond, busy)
+		demands := limits.Demands(tenants)
+		if len(demands) > demandsAtOnce+1 {
+			t.Fatalf("%d demands in one beat", len(demands))
+		}
+		for _, demand := range demands {
+			told[demand.Tenant]++
+		}
+	}
+	if len(told) != len(tenants) || told[busy.Name] != 4 {
+		t.Fatalf("%d of %d tenants were told of, the busy one %d times in four beats", len(told), len(tenants), told[busy.Name])
+	}
+	if few := limits.Demands(tenants[:10]); len(few) != 10 {
+		t.Fatalf("%d of ten", len(few))
+	}
+}
