A new leader tells its list from the beginning; a bad part no longer holds up the news

Cause, found by reading the change again: a daemon in the middle of one leader's list named that place to the next leader, who told on from there, and rows before it were never told; since parts that leave a gap are refused, the whole news was, and would have been for ever. The leader now tells a fellow of another term from the beginning, and only the part is refused. Tests hold both. Rules of documents share one lookup and check.

--- a/internal/affinity/policy.go
+++ b/internal/affinity/policy.go
@@ -44,6 +44,9 @@
 	Most int `json:"most"`
 }
 
+// For is the service that the rule is for.
+func (r Rule) For() (service string) { return r.Service }
+
 // Policy is the whole document.
 type Policy struct {
 	Version order.Version `json:"version"`
@@ -66,12 +69,7 @@
 		return nil, err
 	}
 	faults := &order.Faults{}
-	if policy.Version == 0 {
-		faults.Add("version", "must be 1 or more")
-	}
-	if len(policy.Rules) == 0 || len(policy.Rules) > rulesMost {
-		faults.Add("rules", fmt.Sprintf("must hold from 1 to %d rules", rulesMost))
-	}
+	faults.Head(policy.Version, len(policy.Rules), rulesMost)
 	named, sum := map[string]bool{}, 0
 	for i, rule := range policy.Rules {
 		where := func(field string) string { return fmt.Sprintf("rules.%d.%s", i, field) }
@@ -121,13 +119,7 @@
 
 // Check tells which services a policy names that are not known.
 func (p *Policy) Check(known func(service string) bool) (err error) {
-	faults := &order.Faults{}
-	for i, rule := range p.Rules {
-		if rule.Service != order.AllServices && !known(rule.Service) {
-			faults.Add(fmt.Sprintf("rules.%d.service", i), fmt.Sprintf("names unknown service %q", rule.Service))
-		}
-	}
-	return faults.Err()
+	return order.CheckServices(p.Rules, known)
 }
 
 // For gives the rule of a service; without one it knows no sessions.
@@ -135,13 +127,5 @@
 	if p == nil {
 		return rule, false
 	}
-	for _, candidate := range p.Rules {
-		switch candidate.Service {
-		case string(service):
-			return candidate, true
-		case order.AllServices:
-			rule, ruled = candidate, true
-		}
-	}
-	return rule, ruled
+	return order.RuleOf(p.Rules, string(service))
 }
--- a/internal/drain/policy.go
+++ b/internal/drain/policy.go
@@ -44,6 +44,9 @@
 	LeastShare float64 `json:"least_share"`
 }
 
+// For is the service that the rule is for.
+func (r Rule) For() (service string) { return r.Service }
+
 // Policy is the whole document.
 type Policy struct {
 	Version order.Version `json:"version"`
@@ -67,12 +70,7 @@
 		return nil, err
 	}
 	faults := &order.Faults{}
-	if policy.Version == 0 {
-		faults.Add("version", "must be 1 or more")
-	}
-	if len(policy.Rules) == 0 || len(policy.Rules) > rulesMost {
-		faults.Add("rules", "must hold one rule or more")
-	}
+	faults.Head(policy.Version, len(policy.Rules), rulesMost)
 	named := map[string]bool{}
 	for i, rule := range policy.Rules {
 		where := func(field string) string { return fmt.Sprintf("rules.%d.%s", i, field) }
@@ -104,13 +102,7 @@
 
 // Check tells which services a policy names that are not known.
 func (p *Policy) Check(known func(service string) bool) (err error) {
-	faults := &order.Faults{}
-	for i, rule := range p.Rules {
-		if rule.Service != AllServices && !known(rule.Service) {
-			faults.Add(fmt.Sprintf("rules.%d.service", i), fmt.Sprintf("names unknown service %q", rule.Service))
-		}
-	}
-	return faults.Err()
+	return order.CheckServices(p.Rules, known)
 }
 
 // usual holds where no policy or no rule does.
@@ -122,13 +114,8 @@
 	if p == nil {
 		return rule
 	}
-	for _, candidate := range p.Rules {
-		switch candidate.Service {
-		case string(service):
-			return candidate
-		case AllServices:
-			rule = candidate
-		}
+	if written, ruled := order.RuleOf(p.Rules, string(service)); ruled {
+		return written
 	}
 	return rule
 }
--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -473,6 +473,15 @@
 	return part
 }
 
+// nextPart gives the part of the list that a fellow lacks first. What another
+// leader told of its list is no part of this one's.
+func (f *Forum) nextPart(ask parley.BeatAsk) (part *parley.ListPart) {
+	if ask.Term != f.term {
+		return f.page(f.now(), "")
+	}
+	return f.page(f.now(), ask.ListAt)
+}
+
 // page gives the part of the list behind an id, made once for all that are as
 // far while nothing changes.
 func (f *Forum) page(now time.Duration, after parley.ServerID) (page *parley.ListPart) {
@@ -534,7 +543,7 @@
 	// The list is told only once it is whole; a fellow that lacks it gets it in
 	// parts, and beside them what changed since it first came.
 	if !ask.Listed && f.list.Walked {
-		news.Part = f.page(now, ask.ListAt)
+		news.Part = f.nextPart(ask)
 	}
 	if listSince := ask.Epoch; ask.Term == f.term && (ask.Listed || f.list.Walked) {
 		f.list.Servers.Since(listSince, func(_ parley.ServerID, server parley.Server, gone bool) {
--- a/internal/forum/map_test.go
+++ b/internal/forum/map_test.go
@@ -76,3 +76,24 @@
 		}
 	}
 }
+
+// One that was in the middle of another leader's list is told this one's from
+// the beginning.
+func TestAListBegunByAnotherLeaderIsToldAnew(t *testing.T) {
+	f := bare()
+	var walk []parley.Server
+	for n := 0; n < 3*partRows; n++ {
+		walk = append(walk, parley.Server{ID: parley.ServerID(fmt.Sprintf("i-%03d", n)), Service: "s", Address: "x:1"})
+	}
+	for _, whole := range []bool{false, true} {
+		f.merge(walk, whole)
+	}
+	ask := parley.BeatAsk{Fellow: parley.Fellow{ID: "e"}, Seen: parley.Seen{Term: 6, ItemAt: parley.AllItems, ListAt: "i-100"}}
+	if from := f.nextPart(ask).From; from != "" {
+		t.Errorf("another leader's fellow is told on from %s", from)
+	}
+	ask.Term = 7
+	if from := f.nextPart(ask).From; from != "i-100" {
+		t.Errorf("one's own fellow is told on from %q", from)
+	}
+}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -90,12 +90,49 @@
 	return next, true, nil
 }
 
+// Ruled is a rule for one service, or for all others.
+type Ruled interface{ For() (service string) }
+
+// RuleOf gives the rule of a service: its own, else that of all.
+func RuleOf[Rule Ruled](rules []Rule, service string) (rule Rule, ruled bool) {
+	for _, candidate := range rules {
+		switch candidate.For() {
+		case service:
+			return candidate, true
+		case AllServices:
+			rule, ruled = candidate, true
+		}
+	}
+	return rule, ruled
+}
+
+// CheckServices tells which services rules name that are not known.
+func CheckServices[Rule Ruled](rules []Rule, known func(service string) bool) (err error) {
+	faults := &Faults{}
+	for i, rule := range rules {
+		if service := rule.For(); service != AllServices && !known(service) {
+			faults.Add("rules."+strconv.Itoa(i)+".service", "names unknown service "+strconv.Quote(service))
+		}
+	}
+	return faults.Err()
+}
+
 // Faults gathers what is wrong with a document.
 type Faults struct{ lines []string }
 
 // Add notes one fault.
 func (f *Faults) Add(where, why string) { f.lines = append(f.lines, where+" "+why) }
 
+// Head notes what is wrong with a document's version and number of rules.
+func (f *Faults) Head(version Version, rules, most int) {
+	if version == 0 {
+		f.Add("version", "must be 1 or more")
+	}
+	if rules == 0 || rules > most {
+		f.Add("rules", "must hold from 1 to "+strconv.Itoa(most)+" rules")
+	}
+}
+
 // Err is one error that names every fault, or nil.
 func (f *Faults) Err() (err error) {
 	if len(f.lines) == 0 {
--- a/internal/passage/patience_test.go
+++ b/internal/passage/patience_test.go
@@ -75,19 +75,29 @@
 		d.world.Take(d.clock.Now(), &parley.News{Leader: true, Term: term, Epoch: epoch, Rev: 1, ItemAt: parley.AllItems, Part: part})
 	}
 	tell(2, 1, &parley.ListPart{At: "b", Servers: []parley.Server{server("a"), server("b")}})
-	before := d.world.Seen()
-	for _, bad := range []*parley.ListPart{
+	for i, bad := range []*parley.ListPart{
 		{From: "d", At: "e", Servers: []parley.Server{server("e")}, Done: true},
 		{From: "b", At: "c", Servers: []parley.Server{server("a"), server("c")}},
 	} {
-		if tell(2, 2, bad); d.world.Seen() != before || len(d.world.Scene().Services["s"]) != 2 {
-			t.Fatalf("%+v was taken", bad)
+		tell(2, parley.Epoch(2+i), bad)
+		if seen := d.world.Seen(); seen.Listed || seen.ListAt != "b" || len(d.world.Scene().Services["s"]) != 2 {
+			t.Fatalf("%+v was taken: %+v", bad, seen)
+		}
+		// The rest of the news is, or a daemon would ask for the same for ever.
+		if d.world.Seen().Epoch != parley.Epoch(2+i) {
+			t.Fatal("the rest of the news was refused too")
 		}
 	}
-	tell(2, 2, &parley.ListPart{From: "b", At: "c", Servers: []parley.Server{server("c")}, Done: true})
+	tell(2, 4, &parley.ListPart{From: "b", At: "c", Servers: []parley.Server{server("c")}, Done: true})
 	if !d.world.Seen().Listed || len(d.world.Scene().Services["s"]) != 3 {
 		t.Fatal("the part that follows was not taken")
 	}
+	// A new leader's list begins anew, also for one in the middle of the last's.
+	tell(3, 1, &parley.ListPart{At: "a", Servers: []parley.Server{server("a")}})
+	tell(4, 1, &parley.ListPart{From: "a", At: "c", Servers: []parley.Server{server("c")}, Done: true})
+	if seen := d.world.Seen(); seen.Term != 4 || seen.Listed || seen.ListAt != "" || len(d.world.Scene().Services["s"]) != 3 {
+		t.Fatalf("a later leader's part was taken for the first one: %+v", seen)
+	}
 }
 
 // However many daemons lose their leader at once, together they stay under the
--- a/internal/passage/world.go
+++ b/internal/passage/world.go
@@ -147,8 +147,9 @@
 		return
 	}
 	if part := news.Part; part != nil && !w.follows(news.Term, part) {
+		// Only the part is refused: the rest says where to go on from.
 		w.log.Say(events.AskRefused, "call", "news", "why", "a part of the list that does not follow", "from", string(part.From), "at", string(part.At))
-		return
+		news.Part = nil
 	}
 	first := w.seen.Rev == 0
 	if news.Term != w.seen.Term {
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -25,6 +25,9 @@
 	Window order.Span `json:"window"`
 }
 
+// For is the service that the rule is for.
+func (r Rule) For() (service string) { return r.Service }
+
 // Policy is the whole document.
 type Policy struct {
 	Version order.Version `json:"version"`
@@ -46,12 +49,7 @@
 		return nil, err
 	}
 	faults := &order.Faults{}
-	if policy.Version == 0 {
-		faults.Add("version", "must be 1 or more")
-	}
-	if len(policy.Rules) == 0 || len(policy.Rules) > rulesMost {
-		faults.Add("rules", fmt.Sprintf("must hold from 1 to %d rules", rulesMost))
-	}
+	faults.Head(policy.Version, len(policy.Rules), rulesMost)
 	named := map[string]bool{}
 	for i, rule := range policy.Rules {
 		where := func(field string) string { return fmt.Sprintf("rules.%d.%s", i, field) }
@@ -74,13 +72,7 @@
 
 // Check tells which services a policy names that are not known.
 func (p *Policy) Check(known func(service string) bool) (err error) {
-	faults := &order.Faults{}
-	for i, rule := range p.Rules {
-		if rule.Service != order.AllServices && !known(rule.Service) {
-			faults.Add(fmt.Sprintf("rules.%d.service", i), fmt.Sprintf("names unknown service %q", rule.Service))
-		}
-	}
-	return faults.Err()
+	return order.CheckServices(p.Rules, known)
 }
 
 // For gives the rule of a service; without one there is no written limit.
@@ -88,15 +80,7 @@
 	if p == nil {
 		return rule, false
 	}
-	for _, candidate := range p.Rules {
-		switch candidate.Service {
-		case string(service):
-			return candidate, true
-		case order.AllServices:
-			rule, written = candidate, true
-		}
-	}
-	return rule, written
+	return order.RuleOf(p.Rules, string(service))
 }
 
 // Bound is what is lent of the rule: half of the least may come at once and
