--- a/internal/forum/sessions.go
+++ b/internal/forum/sessions.go
@@ -56,9 +56,6 @@
 
 // build puts on the desk what older leaders have bound; the caller holds the lock.
 func (f *Forum) buildSessions() {
-	if f.sessions.built {
-		return
-	}
 	now := f.now()
 	f.node.Read(func(state *accord.State) {
 		state.EachBinding(func(session parley.SessionID, binding accord.Binding) {
@@ -68,6 +65,14 @@
 	f.sessions.built = true
 }
 
+// settleSessions builds the desk once the leader is settled: only then has it all
+// that older ones bound. The caller holds the lock.
+func (f *Forum) settleSessions() {
+	if _, settled, _, _, _ := f.node.Standing(); settled && !f.sessions.built {
+		f.buildSessions()
+	}
+}
+
 // bindFault tells what is wrong with an ask.
 func (f *Forum) bindFault(bind parley.Bind) (fault string) {
 	server, listed := f.list.Servers.Get(bind.Server)
@@ -118,7 +123,10 @@
 		return found
 	}
 	f.mu.Lock()
-	f.buildSessions()
+	if f.settleSessions(); !f.sessions.built {
+		f.mu.Unlock()
+		return found
+	}
 	now := f.now()
 	var commands []accord.Command
 	var places []int
@@ -185,12 +193,8 @@
 	if s.busy {
 		return
 	}
-	if !s.built {
-		// Only a settled leader has all that older ones bound.
-		if _, settled, _, _, _ := f.node.Standing(); !settled {
-			return
-		}
-		f.buildSessions()
+	if f.settleSessions(); !s.built {
+		return
 	}
 	if len(s.unbinds) == 0 && now-s.scanned > scanSpan {
 		// What was bound by a call whose answer got lost is on no desk yet. None
@@ -249,6 +253,8 @@
 	if f.sessions.policy == nil {
 		return nil
 	}
+	// One who asks a leader that has just begun is told of all as well.
+	f.settleSessions()
 	account = &SessionsAccount{Moved: f.sessions.moved, Crowded: f.sessions.desk.Crowded, Refused: f.sessions.refused}
 	for name := range f.view.Services {
 		rule, ruled := f.sessions.policy.For(parley.ServiceName(name))
