A pressed node waits as long for the stream to a core as for its answer

Its patience grew in three steps and a stream had 400 ms to come up, less than its way there took, so no question could be asked at all. Patience is now long after the first question in vain and holds for the stream too; fellows' streams as before.

--- a/internal/passage/link.go
+++ b/internal/passage/link.go
@@ -92,12 +92,22 @@
 // Led tells whether a leader was heard lately.
 func (l *Link) Led() bool { return l.clock.Now()-time.Duration(l.heard.Load()) < leaderless }
 
-func (l *Link) caller(inner string) (caller *parley.Caller) {
+func (l *Link) caller(inner string) (caller *parley.Caller) { return l.callerOf(inner, 0) }
+
+// core gives the caller of a core. A call may wait as long for its stream as the
+// patience of now allows: where the way there takes half a second, none would
+// ever come up otherwise.
+func (l *Link) core(inner string) (caller *parley.Caller) { return l.callerOf(inner, patienceMost) }
+
+func (l *Link) callerOf(inner string, dial time.Duration) (caller *parley.Caller) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	caller = l.callers[inner]
 	if caller == nil {
 		caller = parley.NewCaller(inner)
+		if dial > 0 {
+			caller.DialWait = dial
+		}
 		l.callers[inner] = caller
 	}
 	return caller
@@ -152,7 +162,7 @@
 		ask.Burdens = l.Burdens()
 	}
 	news = new(parley.News)
-	if err = l.caller(target).Call("Forum.Beat", ask, news, limit); err != nil {
+	if err = l.core(target).Call("Forum.Beat", ask, news, limit); err != nil {
 		return nil, err
 	}
 	if !news.Leader {
@@ -215,7 +225,7 @@
 		asked++
 		go func() {
 			var reply parley.LeadReply
-			err := l.caller(inner).Call("Forum.Lead", parley.LeadAsk{}, &reply, wait)
+			err := l.core(inner).Call("Forum.Lead", parley.LeadAsk{}, &reply, wait)
 			answers <- leadAnswer{inner, reply, err}
 		}()
 	}
@@ -264,7 +274,7 @@
 	term := l.world.Seen().Term
 	for l.clock.Now()-begun < scoutSpan && time.Duration(l.heard.Load()) <= begun {
 		if l.seek(old, term) {
-			l.caller(old).Close()
+			l.core(old).Close()
 			return
 		}
 	}
@@ -396,7 +406,7 @@
 func (l *Link) putClaims(claims []parley.KeyClaim) (found []parley.ClaimFound) {
 	ask := parley.ClaimAsk{Holder: parley.FellowID(l.props.Name), Life: l.life, Claims: claims}
 	var reply parley.ClaimReply
-	err := l.caller(*l.leader.Load()).Call("Forum.Claim", ask, &reply, 2*claimCall)
+	err := l.core(*l.leader.Load()).Call("Forum.Claim", ask, &reply, 2*claimCall)
 	found = make([]parley.ClaimFound, len(claims))
 	refused := err != nil && parley.Unsent.Has(err) || err == nil && !reply.Leader
 	for i := range found {
@@ -411,7 +421,7 @@
 
 func (l *Link) putBinds(binds []parley.Bind) (found []parley.BindFound) {
 	var reply parley.BindReply
-	if err := l.caller(*l.leader.Load()).Call("Forum.Bind", parley.BindAsk{Binds: binds}, &reply, 2*claimCall); err != nil {
+	if err := l.core(*l.leader.Load()).Call("Forum.Bind", parley.BindAsk{Binds: binds}, &reply, 2*claimCall); err != nil {
 		return nil
 	}
 	return reply.Found
@@ -440,7 +450,7 @@
 			}
 			ask := parley.ClaimAsk{Holder: parley.FellowID(l.props.Name), Life: l.life, Frees: frees}
 			var reply parley.ClaimReply
-			err := l.caller(*l.leader.Load()).Call("Forum.Claim", ask, &reply, time.Second)
+			err := l.core(*l.leader.Load()).Call("Forum.Claim", ask, &reply, time.Second)
 			if err != nil || !reply.Leader || !reply.Freed {
 				time.Sleep(freesPause)
 				continue
@@ -490,6 +500,6 @@
 		return false
 	}
 	var reply parley.ReportReply
-	err := l.caller(*l.leader.Load()).Call("Forum.Report", ask, &reply, 500*time.Millisecond)
+	err := l.core(*l.leader.Load()).Call("Forum.Report", ask, &reply, 500*time.Millisecond)
 	return err == nil && reply.Leader && reply.Taken
 }
--- a/internal/passage/patience.go
+++ b/internal/passage/patience.go
@@ -1,8 +1,8 @@
 // Patience is how long the question who leads may take. A core that is gone may
 // not be waited for long; but a daemon whose link or processor is pressed hears
 // every answer late, and with one short wait it would ask for ever. So the wait
-// doubles each time that nobody answered at all, and is short again once a
-// leader is heard.
+// is long once nobody answered at all, for the stream to a core as for its answer,
+// and short again once a leader is heard.
 package passage
 
 import "time"
@@ -19,7 +19,7 @@
 func (p *Patience) Wait() (wait time.Duration) { return max(patienceLeast, p.wait) }
 
 // InVain notes that a question had no answer in time from any core.
-func (p *Patience) InVain() { p.wait = min(2*p.Wait(), patienceMost) }
+func (p *Patience) InVain() { p.wait = patienceMost }
 
 // Heard notes that a leader was heard.
 func (p *Patience) Heard() { p.wait = 0 }
