Reading the change again: one scan of bindings, one reading of a tenant's limit, keys sought when needed

Behaviour as before: the desk of sessions was filled by two loops that are one; a tenant's limit was put together in two places; every request's lines were gone through for an operation key also where neither its way nor a policy asks for one; a hollow node kept a flag that never changes. Tests of the packages touched and the whole system on loopback pass. Left: the heads of the three documents' readers are alike but for their rules' fields.

--- a/internal/allot/lender.go
+++ b/internal/allot/lender.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"tinpin/internal/canon"
 	"tinpin/internal/parley"
 )
 
@@ -36,6 +37,11 @@
 	Rate, Burst float64
 }
 
+// BoundOf is a tenant's limit.
+func BoundOf(tenant *canon.Tenant) (bound Bound) {
+	return Bound{Name: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst}
+}
+
 // Kinds are the leases by which a lender lends.
 type Kinds struct {
 	Share, Floor parley.LeaseKind
--- a/internal/forum/forum.go
+++ b/internal/forum/forum.go
@@ -625,7 +625,7 @@
 	give(allot.Key{Kind: parley.RetrySlack}, slack, f.props.Bounds.RetryWindow, slack/float64(present))
 	for _, demand := range ask.Demands {
 		if tenant := f.view.TenantNamed(demand.Tenant); tenant != nil {
-			leases = append(leases, f.lender.Lend(now, allot.Bound{Name: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst}, ask.ID, present, demand)...)
+			leases = append(leases, f.lender.Lend(now, allot.BoundOf(tenant), ask.ID, present, demand)...)
 		}
 	}
 	for _, demand := range ask.Retries {
--- a/internal/forum/sessions.go
+++ b/internal/forum/sessions.go
@@ -54,22 +54,25 @@
 	}
 }
 
-// build puts on the desk what older leaders have bound; the caller holds the lock.
-func (f *Forum) buildSessions() {
-	now := f.now()
+// scanSessions puts on the desk what is bound and not there: what older leaders
+// have bound, or a call whose answer got lost. The caller holds the lock.
+func (f *Forum) scanSessions() {
+	now, s := f.now(), &f.sessions
+	s.built, s.scanned = true, now
 	f.node.Read(func(state *accord.State) {
 		state.EachBinding(func(session parley.SessionID, binding accord.Binding) {
-			f.sessions.desk.Put(now, binding.Service, session, binding.Idle, binding.Seq)
+			if !s.desk.Known(binding.Service, session) {
+				s.desk.Put(now, binding.Service, session, binding.Idle, binding.Seq)
+			}
 		})
 	})
-	f.sessions.built = true
 }
 
 // settleSessions builds the desk once the leader is settled: only then has it all
 // that older ones bound. The caller holds the lock.
 func (f *Forum) settleSessions() {
 	if _, settled, _, _, _ := f.node.Standing(); settled && !f.sessions.built {
-		f.buildSessions()
+		f.scanSessions()
 	}
 }
 
@@ -197,16 +200,8 @@
 		return
 	}
 	if len(s.unbinds) == 0 && now-s.scanned > scanSpan {
-		// What was bound by a call whose answer got lost is on no desk yet. None
-		// is on its way to be unbound here.
-		s.scanned = now
-		f.node.Read(func(state *accord.State) {
-			state.EachBinding(func(session parley.SessionID, binding accord.Binding) {
-				if !s.desk.Known(binding.Service, session) {
-					s.desk.Put(now, binding.Service, session, binding.Idle, binding.Seq)
-				}
-			})
-		})
+		// None is on its way to be unbound here.
+		f.scanSessions()
 	}
 	for _, over := range s.desk.Over(now, f.mostSessions, unbindsAtOnce-len(s.unbinds)) {
 		s.unbinds = append(s.unbinds, accord.Command{Kind: accord.CommandUnbind, Claim: accord.Claim{Key: string(over.Session)}, Upto: over.Seq})
--- a/internal/passage/carry.go
+++ b/internal/passage/carry.go
@@ -68,15 +68,9 @@
 	}
 	plan = &Plan{Way: way, Service: target(way, rand.Float64()), Request: request, Started: now, Till: now + left, Rounds: way.Rounds}
 	request.Stream = way.Repeat == canon.Download
-	key := ""
-	for _, line := range request.Lines {
-		if line[0] == headKey {
-			key = line[1]
-		}
-	}
-	d.world.Orders.Sessions.aim(plan, request.asked(tenant, key))
+	d.world.Orders.Sessions.aim(plan, tenant)
 	if way.Repeat == canon.Keyed {
-		plan.Key = key
+		plan.Key = request.key()
 		if plan.Key == "" {
 			return nil, problem.NoKey, 0
 		}
--- a/internal/passage/hollow.go
+++ b/internal/passage/hollow.go
@@ -17,14 +17,13 @@
 	props props.Props
 	link  *Link
 	world *World
-	ready bool
 	life  parley.Life
 }
 
 // StartHollow takes up the beats.
 func StartHollow(p props.Props, life parley.Life) (hollow *Hollow) {
 	log, clock := events.Quiet(), NewClock()
-	h := &Hollow{props: p, ready: true, life: life, world: NewWorld(p, log, clock)}
+	h := &Hollow{props: p, life: life, world: NewWorld(p, log, clock)}
 	book := keys.NewBook(p.Bounds.KeyWindow, 1<<16, clock.Now)
 	h.link = NewLink(p, log, clock, h.world, book, life, h.fellow)
 	h.link.Taken = func() {}
@@ -37,7 +36,7 @@
 func (h *Hollow) fellow() parley.Fellow {
 	return parley.Fellow{
 		ID: parley.FellowID(h.props.Name), Life: h.life, Site: parley.SiteName(h.props.Site), Region: parley.RegionName(h.props.Region),
-		Front: h.props.Address + ":1", Inner: h.props.Inner("passage"), Ready: h.ready,
+		Front: h.props.Address + ":1", Inner: h.props.Inner("passage"), Ready: true,
 	}
 }
 
--- a/internal/passage/limits.go
+++ b/internal/passage/limits.go
@@ -51,15 +51,11 @@
 	return bucket
 }
 
-func boundOf(tenant *canon.Tenant) (bound allot.Bound) {
-	return allot.Bound{Name: tenant.Name, Rate: tenant.Rate, Burst: tenant.Burst}
-}
-
 // Admit takes one of a tenant's requests in, or tells when to come back.
 func (l *Limits) Admit(now time.Duration, tenant *canon.Tenant) (admitted bool, back time.Duration) {
 	part := l.parts(tenant.Name)
 	l.mu.Lock()
-	admitted, back = l.bucket(tenant.Name).Admit(now, boundOf(tenant), part)
+	admitted, back = l.bucket(tenant.Name).Admit(now, allot.BoundOf(tenant), part)
 	call := !admitted && now-l.hungry >= hungerPause
 	if call {
 		l.hungry = now
@@ -83,7 +79,7 @@
 		}
 		part := l.parts(tenant.Name)
 		l.mu.Lock()
-		l.bucket(tenant.Name).Fill(now, boundOf(tenant), part)
+		l.bucket(tenant.Name).Fill(now, allot.BoundOf(tenant), part)
 		l.mu.Unlock()
 	}
 }
--- a/internal/passage/sessions.go
+++ b/internal/passage/sessions.go
@@ -96,11 +96,12 @@
 
 // aim gives a plan its session, where its request names one. Of a split way the
 // name decides which service it goes to, so that the session stays there too.
-func (s *Sessions) aim(plan *Plan, asked affinity.Asked) {
+func (s *Sessions) aim(plan *Plan, tenant *canon.Tenant) {
 	policy := s.policy.Load()
 	if policy == nil {
 		return
 	}
+	asked := plan.Request.asked(tenant)
 	if len(plan.Way.Targets) > 1 {
 		for _, part := range plan.Way.Targets {
 			if _, ruled := policy.For(parley.ServiceName(part.Service)); !ruled {
@@ -202,9 +203,19 @@
 	return s.health != parley.Down && now >= s.coldTill && now >= s.outTill && !s.aside
 }
 
+// key is the request's operation key.
+func (r *Request) key() (key string) {
+	for _, line := range r.Lines {
+		if line[0] == headKey {
+			key = line[1]
+		}
+	}
+	return key
+}
+
 // asked is the part of a request that may name its session.
-func (r *Request) asked(tenant *canon.Tenant, key string) (asked affinity.Asked) {
-	asked = affinity.Asked{Lines: r.Lines, Key: key}
+func (r *Request) asked(tenant *canon.Tenant) (asked affinity.Asked) {
+	asked = affinity.Asked{Lines: r.Lines, Key: r.key()}
 	if tenant != nil {
 		asked.Tenant = tenant.Name
 	}
--- a/internal/strain/system.go
+++ b/internal/strain/system.go
@@ -169,7 +169,8 @@
 	return s, err
 }
 
-// ask has every process of nodes do something and waits for all.
+// await has every process of nodes do something, waits for all, and sums their
+// answers.
 func (s *system) await(ctx context.Context, word string) (sum float64, err error) {
 	for _, nodes := range s.nodes {
 		if _, err = fmt.Fprintln(nodes.in, word); err != nil {
