Sight: departures of clients and attempts after them are counted

Cause: neither logs nor monitoring tell whether a proxy notices that a client left, nor what it does afterwards. Change: the lifetime of a request is a context that the frontend ends when it reads the end of the client's connection; it goes down to each attempt and only counts there. What a request does is unchanged.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -50,6 +50,7 @@
 	RecordCorrupt
 	OperatorRequestRejected
 	DiskFull
+	ClientsLeft
 )
 
 // Entry is the fixed part of an event's log line.
@@ -100,6 +101,7 @@
 	RecordCorrupt:           {"stored data corrupt, controller does not start", fault},
 	OperatorRequestRejected: {"operator request rejected", info},
 	DiskFull:                {"disk full, writes paused or resumed", warn},
+	ClientsLeft:             {"clients left with requests unanswered", info},
 }
 
 // Logger writes numbered events.
--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -19,6 +20,9 @@
 // clientConn is one connection of a client.
 type clientConn struct {
 	netConn net.Conn
+	// ctx is the lifetime of the client's requests; cancel ends it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 	// unanswered and unansweredCount both count requests that are read and not yet answered:
 	// the one to wait for, the other to look at.
 	unanswered      sync.WaitGroup
@@ -64,6 +68,8 @@
 // serveConn serves one client connection until it ends.
 func (s *Server) serveConn(conn net.Conn, rejectAll bool) {
 	client := &clientConn{netConn: conn, rejectAll: rejectAll}
+	client.ctx, client.cancel = context.WithCancelCause(context.Background())
+	defer client.cancel(nil)
 	s.setIdle(client, false)
 	defer func() {
 		s.mu.Lock()
@@ -75,6 +81,9 @@
 	written := make(chan struct{})
 	go s.writeResponses(client, pending, written)
 	s.readRequests(client, pending)
+	if client.unansweredCount.Load() > 0 && client.ctx.Err() == nil {
+		s.departures.Unwatched.Add(1)
+	}
 	close(pending)
 	<-written
 	if !client.broken.Load() {
@@ -158,8 +167,11 @@
 		_ = client.netConn.SetReadDeadline(time.Now().Add(idleRecheck))
 		_, err = r.in.Peek(1)
 	}
-	if err != nil && !errors.Is(err, io.EOF) && !message.IsTimeout(err) {
-		client.broken.Store(true)
+	if err != nil && !message.IsTimeout(err) {
+		server.clientLeft(client)
+		if !errors.Is(err, io.EOF) {
+			client.broken.Store(true)
+		}
 	}
 	return err == nil && !client.broken.Load() && !client.closing.Load()
 }
@@ -212,7 +224,7 @@
 	r.enqueue(response)
 	deadline := parsed.Header.Get(message.HeaderRequestDeadline)
 	go func() {
-		handled := server.handle(request, deadline)
+		handled := server.handle(client.ctx, request, deadline)
 		server.bodyBytesLeft.Add(int64(len(request.Body)))
 		response.handled <- handled
 	}()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -40,7 +41,7 @@
 // handled only when all before it on the connection are answered, because a response that
 // closes the connection tells the client that the requests behind it were not read.
 type Server struct {
-	handle   func(request *message.Request, deadline string) message.Response
+	handle   Handler
 	view     func() *config.RoutingTable
 	draining atomic.Bool
 	// openConns counts connections, those that are only rejected among them.
@@ -51,16 +52,19 @@
 	// bodyBytesLeft is what request bodies may still take of memory.
 	bodyBytesLeft atomic.Int64
 	listener      net.Listener
+	departures    Departures
 	mu            sync.Mutex
 	// conns holds since when a connection has been idle, or the zero time while it is not.
 	conns map[*clientConn]time.Time
 }
 
+// Handler answers a request. The context ends when the client has left.
+type Handler func(ctx context.Context, request *message.Request, deadline string) message.Response
+
 // New handles requests with a function, on at most maxConns connections and with at
 // most bodyBytes of request bodies in memory.
 func New(
-	handle func(*message.Request, string) message.Response, view func() *config.RoutingTable,
-	maxConns int, bodyBytes int64,
+	handle Handler, view func() *config.RoutingTable, maxConns int, bodyBytes int64,
 ) *Server {
 	s := &Server{handle: handle, view: view, maxConns: int64(maxConns), conns: map[*clientConn]time.Time{}}
 	s.bodyBytesLeft.Store(bodyBytes)
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -25,7 +26,7 @@
 	}
 	t.Cleanup(func() { _ = listener.Close() })
 	view := config.New().RoutingTable()
-	handleAny := func(request *message.Request, _ string) message.Response { return handle(request) }
+	handleAny := func(_ context.Context, request *message.Request, _ string) message.Response { return handle(request) }
 	server = New(handleAny, func() *config.RoutingTable { return view }, maxConns, 1<<20)
 	go server.Serve(listener)
 	return server, listener.Addr().String()
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -66,6 +66,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return ServeHandler(address, handler)
+}
+
+// ServeHandler has a handler answer on an address until the returned server is closed.
+func ServeHandler(address string, handler http.Handler) (server *http.Server, err error) {
 	listener, err := rpc.Listen(address, connectionTimeout)
 	if err != nil {
 		return nil, err
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"tinpin/internal/message"
@@ -37,14 +38,18 @@
 	Bandwidth                   *BandwidthLimiter
 	// Permitted is asked once a connection is at hand whether the request may still go.
 	Permitted      func(backend *Backend) bool
+	Counts         *attemptCounts
 	DisabledChecks DisabledChecks
 }
 
 // runAttempt sends the request to the backend and reads the response.
-func runAttempt(clock Clock, backend *Backend, request *message.Request, options AttemptOptions) (attempt Attempt) {
+func runAttempt(
+	ctx context.Context, clock Clock, backend *Backend, request *message.Request, options AttemptOptions,
+) (attempt Attempt) {
 	startedAt := clock.Now()
 	backend.attemptStarted(startedAt)
 	defer func() {
+		options.Counts.observe(ctx, attempt.Outcome)
 		if attempt.Response.BodyRest == nil {
 			now := clock.Now()
 			backend.attemptEnded(now, now-startedAt, attempt.Outcome)
@@ -71,6 +76,7 @@
 		backend.putIdle(clock.Now(), conn, defaultKeepAlive)
 		return Attempt{Outcome: SendCancelled}
 	}
+	options.Counts.sending(ctx)
 	sent, err := conn.netConn.Write(data)
 	if err != nil && sent == 0 {
 		// The kernel has taken nothing, so nothing has left.
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -24,7 +24,7 @@
 		return respond(n, r, conn)
 	})
 	d = newTestDaemon(t, backend)
-	if response := d.Handle(newRequest("GET", "/once/first", "first"), "2500"); response.Status != 200 {
+	if response := d.Handle(t.Context(), newRequest("GET", "/once/first", "first"), "2500"); response.Status != 200 {
 		t.Fatal(response.Status)
 	}
 	return d, backend
@@ -103,7 +103,7 @@
 				IsLeader: true, Term: 1, Revision: 2, Endpoints: []rpc.EndpointChange{{Endpoint: endpoint}},
 			})
 			d.state.backends["i-2"].latency, d.state.backends["i-2"].latencyAt = 1e6, 1
-			response := d.Handle(newRequest("GET", "/once/q", "ab"), "300")
+			response := d.Handle(t.Context(), newRequest("GET", "/once/q", "ab"), "300")
 			if runs := backend.count() - 1 + healthy.count(); response.Status != want || runs != wantRuns {
 				t.Errorf("%s, fresh %v: status %d after %d arrivals, want %d after %d",
 					name, isFresh, response.Status, runs, want, wantRuns)
@@ -140,7 +140,7 @@
 				}
 				return respondOK(n, r, conn)
 			})
-			response := d.Handle(newRequest("GET", route+"q", "ab"), "2500")
+			response := d.Handle(t.Context(), newRequest("GET", route+"q", "ab"), "2500")
 			if response.Status != c.status || backend.count() != 2 {
 				t.Errorf("%s on %s: status %d after %d arrivals", name, route, response.Status, backend.count())
 			}
@@ -179,7 +179,7 @@
 		d := newTestDaemon(t, &fakeBackend{id: "i-1", listener: listener})
 		large := newRequest("POST", "/once/q", "up")
 		large.HasBody, large.Body = true, make([]byte, 16<<20)
-		if response := d.Handle(large, "800"); response.Status != c.status {
+		if response := d.Handle(t.Context(), large, "800"); response.Status != c.status {
 			t.Errorf("%s: status %d, want %d", name, response.Status, c.status)
 		}
 		_ = listener.Close()
@@ -211,12 +211,12 @@
 		}, SendCancelled},
 		"deadline has passed": {AttemptOptions{ChosenAt: now, Deadline: now}, NotSent},
 	} {
-		attempt := runAttempt(d.clock, target, newRequest("GET", "/once/q", "a"), c.options)
+		attempt := runAttempt(t.Context(), d.clock, target, newRequest("GET", "/once/q", "a"), c.options)
 		if attempt.Outcome != c.outcome || attempt.Sent {
 			t.Errorf("%s: %+v", name, attempt)
 		}
 	}
-	if response := d.Handle(newRequest("GET", "/once/q", "b"), "800"); response.Status != 200 || backend.count() != 1 {
+	if response := d.Handle(t.Context(), newRequest("GET", "/once/q", "b"), "800"); response.Status != 200 || backend.count() != 1 {
 		t.Fatalf("status %d after %d arrivals", response.Status, backend.count())
 	}
 }
@@ -236,7 +236,7 @@
 				{Kind: rpc.WarmupRate, Key: "i-1", Amount: 3, Duration: duration},
 			}})
 			plan := &Plan{Route: route, Service: "s", Deadline: now + time.Second, BoundBackend: bound}
-			attempt := runAttempt(d.clock, target, newRequest("POST", "/once/x", "a"), d.attemptOptions(plan, now))
+			attempt := runAttempt(t.Context(), d.clock, target, newRequest("POST", "/once/x", "a"), d.attemptOptions(plan, now))
 			if attempt.Outcome != outcome {
 				t.Errorf("bound to %q, a lease for %v: %+v", bound, duration, attempt)
 			}
@@ -253,7 +253,7 @@
 	d := newTestDaemon(t, backend)
 	d.settings.Bounds.KeyWindow = time.Nanosecond
 	connectToLeader(t, d, &fakeCoordinator{script: grantClaim})
-	if response := d.Handle(newKeyedRequest("a", "k"), "2500"); response.Status != 503 || backend.count() != 0 {
+	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "2500"); response.Status != 503 || backend.count() != 0 {
 		t.Fatalf("status %d after %d runs", response.Status, backend.count())
 	}
 	if d.operations.Find("k", "a").State != rpc.OperationReleased {
@@ -261,10 +261,10 @@
 	}
 	// The same request must not run under the claim that is being released.
 	d.settings.Bounds.KeyWindow = time.Minute
-	if response := d.Handle(newKeyedRequest("a", "k"), "2500"); response.Status != 503 || backend.count() != 0 {
+	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "2500"); response.Status != 503 || backend.count() != 0 {
 		t.Fatalf("status %d after %d runs", response.Status, backend.count())
 	}
-	if response := d.Handle(newKeyedRequest("b", "k"), "2500"); response.Status != 200 || backend.count() != 1 {
+	if response := d.Handle(t.Context(), newKeyedRequest("b", "k"), "2500"); response.Status != 200 || backend.count() != 1 {
 		t.Fatalf("status %d after %d runs", response.Status, backend.count())
 	}
 }
@@ -293,7 +293,7 @@
 			Route: view.Find("a.example", "/once/x"), Service: "s", Request: newRequest("POST", "/once/x", "a"),
 			Deadline: d.clock.Now() + 2*time.Second, AttemptsLeft: 3, BoundBackend: "i-1",
 		}
-		if _, kind := d.runAttempts(plan, d.concurrency.forService("s")); kind != 0 || backend.count() != want {
+		if _, kind := d.runAttempts(t.Context(), plan, d.concurrency.forService("s")); kind != 0 || backend.count() != want {
 			t.Errorf("disabled checks %d: kind %d after %d arrivals, want %d", disabled, kind, backend.count(), want)
 		}
 	}
@@ -311,7 +311,7 @@
 	target := d.state.backends["i-1"]
 	now := d.clock.Now()
 	options := AttemptOptions{ChosenAt: now, Deadline: now + time.Second, MaxIdle: time.Minute}
-	attempt := runAttempt(d.clock, target, newRequest("POST", "/once/1", "a"), options)
+	attempt := runAttempt(t.Context(), d.clock, target, newRequest("POST", "/once/1", "a"), options)
 	if attempt.Outcome != Complete {
 		t.Fatalf("%+v", attempt)
 	}
@@ -323,7 +323,7 @@
 		}
 		return true
 	}
-	attempt = runAttempt(d.clock, target, newRequest("POST", "/once/2", "b"), options)
+	attempt = runAttempt(t.Context(), d.clock, target, newRequest("POST", "/once/2", "b"), options)
 	if attempt.Outcome != NotSent || attempt.Sent || backend.count() != 1 {
 		t.Fatalf("%+v after %d arrivals", attempt, backend.count())
 	}
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -40,6 +40,7 @@
 	stopping       atomic.Bool
 	httpServers    []*http.Server
 	rpcListener    *rpc.Server
+	attempts       attemptCounts
 	disabledChecks DisabledChecks
 }
 
@@ -76,6 +77,13 @@
 		}
 		d.httpServers = append(d.httpServers, server)
 	}
+	if p.MetricsAddress != "" {
+		server, serveErr := httpapi.ServeHandler(p.MetricsAddress, d.metrics().Handler())
+		if serveErr != nil {
+			return nil, serveErr
+		}
+		d.httpServers = append(d.httpServers, server)
+	}
 	d.leader.OnUpdate = d.becomeReady
 	d.leader.Limits, d.leader.Loads = d.tenantLimits, d.concurrency.loads
 	go d.leader.RunHeartbeats()
@@ -114,6 +122,7 @@
 		d.becomeReady()
 		if turn%4 == 0 {
 			d.state.CloseIdle()
+			d.logDepartures()
 			d.state.Policies.refreshNodes(d.clock.Now(), d.state.Snapshot().Nodes)
 		}
 	}
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"tinpin/internal/apierror"
@@ -17,16 +18,17 @@
 // capacity.
 const capacityWaitDivisor = 5
 
-// Handle plans a request and executes the plan.
-func (d *Daemon) Handle(request *message.Request, deadline string) message.Response {
+// Handle plans a request and executes the plan. The context is the lifetime of the request; its
+// owner ends it when the client has left.
+func (d *Daemon) Handle(ctx context.Context, request *message.Request, deadline string) message.Response {
 	plan, kind, retryAfter := d.newPlan(request, deadline)
 	if kind != apierror.None {
 		return message.ErrorResponseAfter(kind, request.ID, retryAfter)
 	}
 	if plan.Key != "" {
-		return d.executeKeyed(plan)
+		return d.executeKeyed(ctx, plan)
 	}
-	response, kind := d.execute(plan)
+	response, kind := d.execute(ctx, plan)
 	if kind != apierror.None {
 		return message.ErrorResponse(kind, request.ID)
 	}
@@ -34,7 +36,7 @@
 }
 
 // execute makes the attempts of a plan, once the concurrency limit of its service lets it.
-func (d *Daemon) execute(plan *Plan) (response message.Response, kind apierror.Kind) {
+func (d *Daemon) execute(ctx context.Context, plan *Plan) (response message.Response, kind apierror.Kind) {
 	if plan.Session != "" {
 		if kind = d.bind(plan); kind != apierror.None {
 			return response, plan.errorKind(kind)
@@ -48,7 +50,7 @@
 		time.Sleep(capacityPollInterval)
 	}
 	defer limiter.Release()
-	return d.attemptOrServerError(plan, limiter)
+	return d.attemptOrServerError(ctx, plan, limiter)
 }
 
 // mayWaitForCapacity tells whether a request may look for capacity once more, so that a rejection
@@ -61,9 +63,9 @@
 // attemptOrServerError makes the attempts of a plan. Where none gave a better response, the last
 // server error of a backend is the response.
 func (d *Daemon) attemptOrServerError(
-	plan *Plan, limiter *ConcurrencyLimiter,
+	ctx context.Context, plan *Plan, limiter *ConcurrencyLimiter,
 ) (response message.Response, kind apierror.Kind) {
-	response, kind = d.runAttempts(plan, limiter)
+	response, kind = d.runAttempts(ctx, plan, limiter)
 	if kind != apierror.None && plan.LastServerError != nil {
 		return *plan.LastServerError, apierror.None
 	}
@@ -71,7 +73,9 @@
 }
 
 // runAttempts sends a plan's request until there is a response or an error.
-func (d *Daemon) runAttempts(plan *Plan, limiter *ConcurrencyLimiter) (response message.Response, kind apierror.Kind) {
+func (d *Daemon) runAttempts(
+	ctx context.Context, plan *Plan, limiter *ConcurrencyLimiter,
+) (response message.Response, kind apierror.Kind) {
 	arrivals := 0
 	for {
 		now := d.clock.Now()
@@ -92,7 +96,7 @@
 		if arrivals > 0 && !d.allowRetry(now, plan, backend) {
 			return response, plan.errorKind(apierror.Overloaded)
 		}
-		attempt, answering := d.attemptWithHedge(plan, backend, now, &arrivals)
+		attempt, answering := d.attemptWithHedge(ctx, plan, backend, now, &arrivals)
 		d.observe(plan, limiter, now, &attempt)
 		step, kind := plan.Next(d.clock.Now(), answering.ID, attempt)
 		if attempt.Outcome == ServerError {
@@ -141,7 +145,7 @@
 func (d *Daemon) attemptOptions(plan *Plan, chosenAt time.Duration) (options AttemptOptions) {
 	options = AttemptOptions{
 		ChosenAt: chosenAt, Deadline: plan.Deadline, MaxIdle: defaultMaxIdle, Keyed: plan.Key != "",
-		Bandwidth: d.bandwidth, Permitted: d.mayReceive, DisabledChecks: d.disabledChecks,
+		Bandwidth: d.bandwidth, Permitted: d.mayReceive, Counts: &d.attempts, DisabledChecks: d.disabledChecks,
 	}
 	if plan.BoundBackend != "" {
 		options.Permitted = func(backend *Backend) bool {
--- a/internal/proxy/frontend_test.go
+++ b/internal/proxy/frontend_test.go
@@ -29,7 +29,7 @@
 	for route, status := range map[string]int{"/once/": 503, "/safe/": 200} {
 		pipelined := newRequest("GET", route+"x", "a")
 		pipelined.Pipelined = true
-		if response := d.Handle(pipelined, "2500"); response.Status != status {
+		if response := d.Handle(t.Context(), pipelined, "2500"); response.Status != status {
 			t.Errorf("%s: status %d", route, response.Status)
 		}
 	}
@@ -65,7 +65,7 @@
 			}
 		}
 		close(gate)
-		response := d.Handle(newRequest("POST", "/once/2", "p2"), "2500")
+		response := d.Handle(t.Context(), newRequest("POST", "/once/2", "p2"), "2500")
 		if response.Status != 200 || string(response.Body) != "body of p2" {
 			t.Fatalf("%d %q", response.Status, response.Body)
 		}
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"tinpin/internal/rpc"
@@ -25,11 +26,11 @@
 // first complete response is taken; the other is discarded. arrivals counts the attempts that were
 // sent.
 func (d *Daemon) attemptWithHedge(
-	plan *Plan, backend *Backend, chosenAt time.Duration, arrivals *int,
+	ctx context.Context, plan *Plan, backend *Backend, chosenAt time.Duration, arrivals *int,
 ) (attempt Attempt, answering *Backend) {
 	wait := hedgeDelay(plan, backend)
 	if !plan.Route.Type.Retryable() || plan.AttemptsLeft < 2 || wait <= 0 || plan.BoundBackend != "" {
-		attempt = runAttempt(d.clock, backend, plan.Request, d.attemptOptions(plan, chosenAt))
+		attempt = runAttempt(ctx, d.clock, backend, plan.Request, d.attemptOptions(plan, chosenAt))
 		if attempt.Sent {
 			*arrivals++
 		}
@@ -37,7 +38,7 @@
 	}
 	ended := make(chan endedAttempt, 2)
 	sentAt := d.clock.Now()
-	d.startAttempt(plan, backend, chosenAt, ended)
+	d.startAttempt(ctx, plan, backend, chosenAt, ended)
 	running := 1
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -59,7 +60,7 @@
 		case <-timer.C:
 			now := d.clock.Now()
 			if second := d.hedgeBackend(plan, backend, sentAt, now); second != nil {
-				d.startAttempt(plan, second, now, ended)
+				d.startAttempt(ctx, plan, second, now, ended)
 				running++
 			}
 		}
@@ -73,9 +74,12 @@
 }
 
 // startAttempt sends to a backend on a goroutine of its own, which sends the result on a channel.
-func (d *Daemon) startAttempt(plan *Plan, backend *Backend, chosenAt time.Duration, ended chan<- endedAttempt) {
+func (d *Daemon) startAttempt(
+	ctx context.Context, plan *Plan, backend *Backend, chosenAt time.Duration, ended chan<- endedAttempt,
+) {
 	go func() {
-		ended <- endedAttempt{runAttempt(d.clock, backend, plan.Request, d.attemptOptions(plan, chosenAt)), backend}
+		attempt := runAttempt(ctx, d.clock, backend, plan.Request, d.attemptOptions(plan, chosenAt))
+		ended <- endedAttempt{attempt, backend}
 	}()
 }
 
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"tinpin/internal/apierror"
@@ -20,7 +21,7 @@
 
 // executeKeyed claims the key of a plan's operation before the request leaves, and stores the
 // response for repeats.
-func (d *Daemon) executeKeyed(plan *Plan) message.Response {
+func (d *Daemon) executeKeyed(ctx context.Context, plan *Plan) message.Response {
 	request := plan.Request
 	if d.operations.Released(plan.Key, request.ID) {
 		// The release of the earlier claim may still be on its way to the leader; it would release a
@@ -34,7 +35,7 @@
 	if response, granted := d.claim(plan, operation); !granted {
 		return response
 	}
-	response, kind := d.execute(plan)
+	response, kind := d.execute(ctx, plan)
 	switch {
 	case kind == apierror.None:
 		d.storeResponse(operation, plan, response)
--- a/internal/proxy/keyed_test.go
+++ b/internal/proxy/keyed_test.go
@@ -85,8 +85,8 @@
 	backend := newFakeBackend(t, "i-1", respondOK)
 	d := newTestDaemon(t, backend)
 	connectToLeader(t, d, &fakeCoordinator{script: grantClaim})
-	first := d.Handle(newKeyedRequest("a", "k"), "2500")
-	repeated := d.Handle(newKeyedRequest("b", "k"), "2500")
+	first := d.Handle(t.Context(), newKeyedRequest("a", "k"), "2500")
+	repeated := d.Handle(t.Context(), newKeyedRequest("b", "k"), "2500")
 	if first.Status != 200 || repeated.Status != 200 || string(repeated.Body) != "body of a" || backend.count() != 1 {
 		t.Fatalf("%d %d %q, %d runs", first.Status, repeated.Status, repeated.Body, backend.count())
 	}
@@ -120,14 +120,14 @@
 		d := newTestDaemon(t, backend)
 		connectToLeader(t, d, &fakeCoordinator{script: grantClaim})
 		d.state.Snapshot().View.Services["s"].SelfDeduplicates = c.deduplicates
-		if response := d.Handle(newKeyedRequest("a", "k"), "2500"); response.Status != c.status {
+		if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "2500"); response.Status != c.status {
 			t.Errorf("%s: status %d", name, response.Status)
 		}
 		if state := d.operations.Find("k", "a").State; state != c.state {
 			t.Errorf("%s: state %d, want %d", name, state, c.state)
 		}
 		runs := backend.count()
-		response := d.Handle(newKeyedRequest("b", "k"), "2500")
+		response := d.Handle(t.Context(), newKeyedRequest("b", "k"), "2500")
 		if c.state == rpc.OperationLost && (response.Status != 503 || backend.count() != runs) {
 			t.Errorf("%s: a repeat got %d after %d runs", name, response.Status, backend.count())
 		}
@@ -161,7 +161,7 @@
 				Outcome: rpc.ClaimHeld, Holder: "edge-2", InternalAddress: address, Incarnation: 7, Request: "z",
 			}
 		}
-		response := d.Handle(newKeyedRequest("a", "k"), "2500")
+		response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "2500")
 		if response.Status != c.status || backend.count() != c.runs {
 			t.Errorf("%s: status %d after %d runs", name, response.Status, backend.count())
 		}
@@ -180,7 +180,7 @@
 		return rpc.ClaimResult{Outcome: rpc.ClaimUnknown}
 	}}
 	connectToLeader(t, d, coordinator)
-	if response := d.Handle(newKeyedRequest("a", "k"), "300"); response.Status != 503 || backend.count() != 0 {
+	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "300"); response.Status != 503 || backend.count() != 0 {
 		t.Fatalf("status %d after %d runs", response.Status, backend.count())
 	}
 	if d.operations.Find("k", "a").State != rpc.OperationReleased {
@@ -249,7 +249,7 @@
 			connectToLeader(t, d, &fakeCoordinator{script: grantClaim})
 		}
 		startedAt := d.clock.Now()
-		response := d.Handle(c.request, "2500")
+		response := d.Handle(t.Context(), c.request, "2500")
 		// The route's timeout is 900 ms and its target latency 600 ms.
 		if took := d.clock.Now() - startedAt; response.Status != c.status || took > 600*time.Millisecond {
 			t.Errorf("%s: status %d after %v", name, response.Status, took)
@@ -266,7 +266,7 @@
 		return rpc.ClaimResult{Outcome: rpc.ClaimHeld, Holder: "edge-1", Incarnation: d.incarnation + 1, Request: "z"}
 	}}
 	connectToLeader(t, d, coordinator)
-	if response := d.Handle(newKeyedRequest("a", "k"), "800"); response.Status != 503 || backend.count() != 0 {
+	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "800"); response.Status != 503 || backend.count() != 0 {
 		t.Fatalf("status %d after %d runs", response.Status, backend.count())
 	}
 	for _, end := range []func(operation *idempotency.HeldOperation){
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -61,7 +61,7 @@
 			healthy := newFakeBackend(t, "i-2", respondOK)
 			d := newTestDaemon(t, faulty, healthy)
 			d.state.backends["i-2"].latency, d.state.backends["i-2"].latencyAt = 1e6, 1
-			response := d.Handle(newRequest("GET", route+"q", "ab"), "2500")
+			response := d.Handle(t.Context(), newRequest("GET", route+"q", "ab"), "2500")
 			want := c.safe
 			if route == "/once/" {
 				want = c.once
@@ -88,7 +88,7 @@
 	})
 	d := newTestDaemon(t, backend)
 	for _, id := range []string{"a", "b", "c"} {
-		response := d.Handle(newRequest("GET", "/once/q", id), "2500")
+		response := d.Handle(t.Context(), newRequest("GET", "/once/q", id), "2500")
 		if response.Status != 200 || string(response.Body) != "body of "+id {
 			t.Fatalf("%s: %d %q", id, response.Status, response.Body)
 		}
@@ -350,7 +350,7 @@
 		{Kind: rpc.WarmupRate, Key: "i-1", Amount: 3.7, Duration: time.Minute},
 	}})
 	for range 12 {
-		d.Handle(newRequest("GET", "/safe/q", "c"), "2500")
+		d.Handle(t.Context(), newRequest("GET", "/safe/q", "c"), "2500")
 	}
 	if len(arrivals) < 3 {
 		t.Fatalf("only %d arrivals: the lease is not used", len(arrivals))
@@ -441,7 +441,7 @@
 		healthy := newFakeBackend(t, "i-2", respondOK)
 		d := newTestDaemon(t, unresponsive, healthy)
 		d.state.backends["i-2"].latency, d.state.backends["i-2"].latencyAt = 1e6, 1
-		response := d.Handle(newRequest("GET", route+"q", "ab"), "800")
+		response := d.Handle(t.Context(), newRequest("GET", route+"q", "ab"), "800")
 		if route == "/safe/" && response.Status != 200 || route == "/once/" && response.Status != 504 {
 			t.Errorf("%s: status %d", route, response.Status)
 		}
--- a/internal/proxy/request_bench_test.go
+++ b/internal/proxy/request_bench_test.go
@@ -20,7 +20,7 @@
 			request := newRequest("GET", route+"x", "a")
 			b.ReportAllocs()
 			for b.Loop() {
-				response := d.Handle(&message.Request{
+				response := d.Handle(b.Context(), &message.Request{
 					Method: request.Method, Target: request.Target, Host: request.Host, ID: request.ID,
 					Headers: request.Headers,
 				}, "2500")
--- a/internal/proxy/sessions_test.go
+++ b/internal/proxy/sessions_test.go
@@ -105,7 +105,7 @@
 		for _, backend := range backends {
 			before[backend.id] = backend.count()
 		}
-		status = nodes[n].Handle(r, "2500").Status
+		status = nodes[n].Handle(t.Context(), r, "2500").Status
 		for _, backend := range backends {
 			if backend.count() > before[backend.id] {
 				server = backend.id
@@ -152,7 +152,7 @@
 	backend := newFakeBackend(t, "i-1", respondOK)
 	coordinator := &bindingCoordinator{notLeading: true}
 	d := newTestNodes(t, coordinator, []*fakeBackend{backend})[0]
-	response := d.Handle(newCallerRequest("GET", "/safe/x", "a", "anna"), "2500")
+	response := d.Handle(t.Context(), newCallerRequest("GET", "/safe/x", "a", "anna"), "2500")
 	if response.Status != 503 || backend.count() != 0 {
 		t.Fatalf("%d, %d runs", response.Status, backend.count())
 	}
@@ -167,7 +167,7 @@
 	}
 	keyed := newCallerRequest("POST", "/key/x", "b", "anna")
 	keyed.Headers = append(keyed.Headers, message.HeaderField{message.HeaderOperationKey, "k"})
-	if response = d.Handle(keyed, "2500"); response.Status != 503 || backend.count() != 0 {
+	if response = d.Handle(t.Context(), keyed, "2500"); response.Status != 503 || backend.count() != 0 {
 		t.Fatalf("keyed: %d, %d runs", response.Status, backend.count())
 	}
 	if state := d.operations.Find("k", "b").State; state != rpc.OperationReleased {
@@ -175,15 +175,15 @@
 	}
 	setDocument(d, 3, policy.SessionAffinity, `{"version":3,"rules":[
 		{"service":"s","from":"header","name":"X-Caller","idle":"1m","alone":"serve","most":100}]}`)
-	if response = d.Handle(newCallerRequest("GET", "/safe/x", "c", "anna"), "2500"); response.Status != 200 {
+	if response = d.Handle(t.Context(), newCallerRequest("GET", "/safe/x", "c", "anna"), "2500"); response.Status != 200 {
 		t.Fatalf("under \"serve\" an idempotent request gets %d", response.Status)
 	}
-	if response = d.Handle(newCallerRequest("POST", "/once/x", "d", "anna"), "2500"); response.Status != 503 {
+	if response = d.Handle(t.Context(), newCallerRequest("POST", "/once/x", "d", "anna"), "2500"); response.Status != 503 {
 		t.Fatalf("under \"serve\" one that is not idempotent gets %d", response.Status)
 	}
 	r := newCallerRequest("GET", "/safe/x", "e", "anna")
 	r.Headers = append(r.Headers, message.HeaderField{"X-Caller", "ben"})
-	if response = d.Handle(r, "2500"); response.Status != 200 || d.state.Policies.Sessions.Status().Repeated != 1 {
+	if response = d.Handle(t.Context(), r, "2500"); response.Status != 200 || d.state.Policies.Sessions.Status().Repeated != 1 {
 		t.Fatalf("a session header that occurs twice: %d, %+v", response.Status, d.state.Policies.Sessions.Status())
 	}
 }
@@ -203,7 +203,7 @@
 	d := newTestNodes(t, coordinator, []*fakeBackend{busy, other})[0]
 	for c := 0; ; c++ {
 		caller := fmt.Sprint("caller-", c)
-		response := d.Handle(newCallerRequest("GET", "/safe/x", caller, caller), "2500")
+		response := d.Handle(t.Context(), newCallerRequest("GET", "/safe/x", caller, caller), "2500")
 		if response.Status != 200 {
 			t.Fatal(response.Status)
 		}
@@ -231,7 +231,7 @@
 			setDocument(d, 2, policy.RetryLimit, limit)
 		}
 		for i := 0; i < 10; i++ {
-			d.Handle(newRequest("GET", "/safe/x", fmt.Sprint("r", i)), "2500")
+			d.Handle(t.Context(), newRequest("GET", "/safe/x", fmt.Sprint("r", i)), "2500")
 		}
 		if limit != "" {
 			status := d.state.Policies.Retries.Status(d.clock.Now())
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -72,6 +72,7 @@
 		r.fail("seeds", "must name one daemon or more")
 	}
 	s.PlatformAddress = r.address("platform.address")
+	s.MetricsAddress = r.address("metrics_address")
 	s.EventsURL = r.text("events_url")
 	if s.EventsURL != "" {
 		if target, err := url.Parse(s.EventsURL); err != nil || target.Scheme != "http" || target.Host == "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,8 @@
 	// that the platform takes from all daemons together.
 	PlatformAddress string
 	PlatformRate    float64
+	// MetricsAddress serves the daemon's own figures; empty for none.
+	MetricsAddress string
 	// EventsURL receives CloudEvents; empty for none.
 	EventsURL string
 	Bounds    Bounds
