--- a/internal/proxy/fake_backend_test.go
+++ b/internal/proxy/fake_backend_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -101,6 +102,13 @@
 	return len(s.requests)
 }
 
+// received lists the requests that have arrived.
+func (s *fakeBackend) received() []receivedRequest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.requests)
+}
+
 func (s *fakeBackend) last() receivedRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,7 +130,8 @@
 }
 
 // newTestDaemon makes a node that has the fake backends in its endpoint list, as backends of service s,
-// and three routes: /safe/ is idempotent, /once/ is not, /key/ is keyed.
+// and routes: /safe/ is idempotent, /once/ is not, /key/ is keyed; /long/, /longonce/ and /longkey/ are
+// their like with a minute to answer, /stream/ is a download and requests to /hedged/ are soon hedged.
 func newTestDaemon(t testing.TB, backends ...*fakeBackend) (d *Daemon) {
 	t.Helper()
 	p := settings.Settings{
@@ -149,7 +158,12 @@
 		"service_name"],"row_values":[
 		["r1","a.example","/safe/","idempotent","900ms","600ms",3,1,"s"],
 		["r2","a.example","/once/","non_idempotent","900ms","600ms",3,1,"s"],
-		["r3","a.example","/key/","keyed","900ms","600ms",3,1,"s"]]},
+		["r3","a.example","/key/","keyed","900ms","600ms",3,1,"s"],
+		["r4","a.example","/long/","idempotent","60s","60s",3,1,"s"],
+		["r5","a.example","/longonce/","non_idempotent","60s","60s",3,1,"s"],
+		["r6","a.example","/longkey/","keyed","60s","60s",3,1,"s"],
+		["r7","a.example","/stream/","download","60s","60s",3,1,"s"],
+		["r8","a.example","/hedged/","idempotent","60s","20ms",3,1,"s"]]},
 		"services":{"column_names":["name","health_check_path","max_connections","version"],
 			"row_values":[["s","/health",100,1]]},
 		"limits":{"max_header_bytes":2000,"max_body_bytes":5000,
