--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -49,6 +49,8 @@
 	Isolated
 	// VersionConflict means that other content came under the same version.
 	VersionConflict
+	// ClientLeft means that the client had gone before there was a response.
+	ClientLeft
 )
 
 // Response is what an error looks like to the caller.
@@ -91,6 +93,7 @@
 	VersionConflict:    {Status: 409, Text: "this version holds other content"},
 	SessionUnavailable: {Status: 503, Text: "the session's backend cannot be asked for now", RetryAfterMS: 200},
 	Isolated:           {Status: 503, Text: "this daemon has lost touch with the others", RetryAfterMS: 500},
+	ClientLeft:         {Status: 499, Text: "the client has left", MayHaveRun: true, Close: true},
 	NotConfigured:      {Status: 503, Text: "the configuration is not known yet", RetryAfterMS: 300},
 }
 
--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -54,7 +54,7 @@
 
 func TestErrorsTable(t *testing.T) {
 	text := page(t, "docs/errors.md")
-	for kind := apierror.BadRequest; kind <= apierror.VersionConflict; kind++ {
+	for kind := apierror.BadRequest; kind <= apierror.ClientLeft; kind++ {
 		answer := kind.Response()
 		ran := "no"
 		if answer.MayHaveRun {
--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,15 +20,17 @@
 type clientConn struct {
 	netConn net.Conn
 	// ctx is the lifetime of the client's requests; cancel ends it.
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	// unanswered and unansweredCount both count requests that are read and not yet answered:
-	// the one to wait for, the other to look at.
-	unanswered      sync.WaitGroup
-	unansweredCount atomic.Int64
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	openedAt time.Time
+	// unanswered counts requests that are read and not yet answered; answeredAt is when, since
+	// openedAt, the last was.
+	unanswered atomic.Int64
+	answeredAt atomic.Int64
+	answers    answerWatch
 	// broken is set when no response can be written any more, closing when a response that
-	// closes the connection is about to be.
-	broken, closing atomic.Bool
+	// closes the connection is about to be, evicted when it was closed for another's sake.
+	broken, closing, evicted atomic.Bool
 	// rejectAll has every request rejected, for want of descriptors.
 	rejectAll bool
 }
@@ -67,9 +68,8 @@
 
 // serveConn serves one client connection until it ends.
 func (s *Server) serveConn(conn net.Conn, rejectAll bool) {
-	client := &clientConn{netConn: conn, rejectAll: rejectAll}
-	client.ctx, client.cancel = context.WithCancelCause(context.Background())
-	defer client.cancel(nil)
+	client := newClientConn(conn, rejectAll)
+	defer client.cancel(errAnswered)
 	s.setIdle(client, false)
 	defer func() {
 		s.mu.Lock()
@@ -81,9 +81,6 @@
 	written := make(chan struct{})
 	go s.writeResponses(client, pending, written)
 	s.readRequests(client, pending)
-	if client.unansweredCount.Load() > 0 && client.ctx.Err() == nil {
-		s.departures.Unwatched.Add(1)
-	}
 	close(pending)
 	<-written
 	if !client.broken.Load() {
@@ -118,6 +115,8 @@
 	r := requestReader{server: s, client: client, source: source, in: in, pending: pending}
 	for r.readOne() {
 	}
+	// No more requests are taken up; the client may still leave before the last is answered.
+	r.awaitAnswers(0)
 }
 
 // readOne reads one request and has it handled; it tells whether another may follow.
@@ -139,7 +138,7 @@
 	}
 	var request *message.Request
 	if kind == apierror.None {
-		request, kind = r.server.readRequest(r.client, parsed, limits)
+		request, kind = r.readRequest(parsed, limits)
 	}
 	if kind != apierror.None {
 		r.reject(kind, id)
@@ -152,13 +151,12 @@
 func (r *requestReader) await(idleTime time.Duration) bool {
 	server, client := r.server, r.client
 	r.source.limit = 0
-	_ = client.netConn.SetReadDeadline(time.Now().Add(idleTime))
 	// Idle times are kept only while connections may have to be closed for others.
 	crowded := server.openConns.Load() > server.maxConns/2
 	if crowded {
 		server.setIdle(client, true)
 	}
-	_, err := r.in.Peek(1)
+	err := r.peekUntilIdle(idleTime)
 	if crowded {
 		server.setIdle(client, false)
 	}
@@ -168,14 +166,28 @@
 		_, err = r.in.Peek(1)
 	}
 	if err != nil && !message.IsTimeout(err) {
-		server.clientLeft(client)
-		if !errors.Is(err, io.EOF) {
-			client.broken.Store(true)
-		}
+		server.readingEnded(client, err)
 	}
 	return err == nil && !client.broken.Load() && !client.closing.Load()
 }
 
+// peekUntilIdle waits for the first byte of a request until the connection has been idle too long: since its
+// last response, and never while a request is unanswered.
+func (r *requestReader) peekUntilIdle(idleTime time.Duration) (err error) {
+	client := r.client
+	for idleEnd := time.Now().Add(idleTime); ; {
+		_ = client.netConn.SetReadDeadline(idleEnd)
+		_, err = r.in.Peek(1)
+		if err == nil || !message.IsTimeout(err) || client.closing.Load() || client.evicted.Load() {
+			return err
+		}
+		now := time.Now()
+		if idleEnd = client.idleSince(now).Add(idleTime); !idleEnd.After(now) {
+			return err
+		}
+	}
+}
+
 // readHead reads the head of a request. Without a head it returns nil, with no error kind
 // where the client has gone; a head that is too long may come with its kind.
 func (r *requestReader) readHead(limits config.ClientLimits) (parsed *http.Request, kind apierror.Kind) {
@@ -214,11 +226,14 @@
 		closeAfter: parsed.Close, headOnly: parsed.Method == http.MethodHead,
 	}
 	path, _, _ := strings.Cut(request.Target, "?")
+	limit := int64(maxPipelined - 1)
 	if route := server.view().Find(request.Host, path); route != nil && !route.Type.Retryable() {
-		client.unanswered.Wait()
+		limit = 0
 	}
-	request.Pipelined = client.unansweredCount.Load() > 0
-	if client.broken.Load() || client.closing.Load() {
+	stays := r.awaitAnswers(limit)
+	request.Pipelined = client.unanswered.Load() > 0
+	if !stays || client.broken.Load() || client.closing.Load() {
+		server.bodyBytesLeft.Add(int64(len(request.Body)))
 		return false
 	}
 	r.enqueue(response)
@@ -233,7 +248,6 @@
 
 func (r *requestReader) enqueue(response *pendingResponse) {
 	r.client.unanswered.Add(1)
-	r.client.unansweredCount.Add(1)
 	r.server.inFlight.Add(1)
 	r.pending <- response
 }
@@ -263,8 +277,12 @@
 			response.Finish(false)
 		}
 		s.inFlight.Add(-1)
-		client.unansweredCount.Add(-1)
-		client.unanswered.Done()
+		if ended {
+			// What is at work behind a response that closes the connection is for nobody: the client
+			// takes its requests for unread.
+			client.cancel(errAnswered)
+		}
+		client.answered()
 	}
 }
 
@@ -287,6 +305,7 @@
 	}
 	if !complete {
 		client.broken.Store(true)
+		s.clientLeft(client)
 		if half, ok := conn.(*net.TCPConn); ok {
 			_ = half.SetLinger(0)
 		}
--- a/internal/frontend/idle_test.go
+++ b/internal/frontend/idle_test.go
@@ -7,10 +7,12 @@
 	"os"
 	"testing"
 	"time"
+
+	"tinpin/internal/config"
 )
 
 // lateConn is a connection whose first reading comes when its time is just over,
-// though the client's bytes have arrived.
+// though the client's bytes have arrived. Later readings have all the time they need.
 type lateConn struct {
 	net.Conn
 	reads int
@@ -23,9 +25,14 @@
 	return c.Conn.Read(into)
 }
 
+func (c *lateConn) SetReadDeadline(time.Time) error { return nil }
+
 // A request that arrives just as its idle connection is to be closed is answered, not cut off.
 func TestARequestThatMeetsTheIdleEndIsAnswered(t *testing.T) {
 	server, _ := serve(t, 100, bodyOf)
+	view := *server.view()
+	view.Limits.IdleTimeout = 0
+	server.view = func() *config.RoutingTable { return &view }
 	ours, theirs := net.Pipe()
 	defer func() { _ = theirs.Close() }()
 	go server.serveConn(&lateConn{Conn: ours}, false)
--- a/internal/frontend/request_body.go
+++ b/internal/frontend/request_body.go
@@ -12,9 +12,10 @@
 )
 
 // readRequest makes the request that is forwarded from its head, and reads its body.
-func (s *Server) readRequest(
-	client *clientConn, parsed *http.Request, limits config.ClientLimits,
+func (r *requestReader) readRequest(
+	parsed *http.Request, limits config.ClientLimits,
 ) (request *message.Request, kind apierror.Kind) {
+	s, client := r.server, r.client
 	target, valid := originForm(parsed)
 	if !valid || parsed.Host == "" {
 		return nil, apierror.BadRequest
@@ -31,7 +32,7 @@
 		return nil, apierror.BodyTooLarge
 	}
 	if strings.EqualFold(parsed.Header.Get("Expect"), "100-continue") {
-		client.unanswered.Wait()
+		r.awaitAnswers(0)
 		_, _ = io.WriteString(client.netConn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	_ = client.netConn.SetReadDeadline(time.Now().Add(bodyTimeout))
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -109,7 +109,7 @@
 	defer s.mu.Unlock()
 	var oldest *clientConn
 	for c, since := range s.conns {
-		if !since.IsZero() && c.unansweredCount.Load() == 0 && (oldest == nil || since.Before(s.conns[oldest])) {
+		if !since.IsZero() && c.unanswered.Load() == 0 && (oldest == nil || since.Before(s.conns[oldest])) {
 			oldest = c
 		}
 	}
@@ -117,6 +117,7 @@
 		return false
 	}
 	s.conns[oldest] = time.Time{}
+	oldest.evicted.Store(true)
 	_ = oldest.netConn.SetReadDeadline(time.Now())
 	return true
 }
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -92,7 +92,7 @@
 		server.mu.Lock()
 		defer server.mu.Unlock()
 		for v, since := range server.conns {
-			if !since.IsZero() && v.unansweredCount.Load() == 0 {
+			if !since.IsZero() && v.unanswered.Load() == 0 {
 				return true
 			}
 		}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -35,7 +35,9 @@
 	// long the connection may have been idle.
 	ChosenAt, Deadline, MaxIdle time.Duration
 	Keyed                       bool
-	Bandwidth                   *BandwidthLimiter
+	// Interruptible tells that the request may be broken off when its lifetime ends.
+	Interruptible bool
+	Bandwidth     *BandwidthLimiter
 	// Permitted is asked once a connection is at hand whether the request may still go.
 	Permitted      func(backend *Backend) bool
 	Counts         *attemptCounts
@@ -58,7 +60,10 @@
 	conn := backend.takeIdle(startedAt, options.MaxIdle)
 	if conn == nil {
 		var err error
-		if conn, err = backend.dial(options.Deadline - startedAt); err != nil {
+		if conn, err = backend.dial(ctx, options.Deadline-startedAt); err != nil {
+			if ctx.Err() != nil {
+				return Attempt{Outcome: SendCancelled}
+			}
 			return Attempt{Outcome: NotSent}
 		}
 	}
@@ -71,21 +76,19 @@
 	defer backend.untrackActive(conn)
 	data := request.Encode(options.Deadline-now, backend.ID)
 	_ = conn.netConn.SetDeadline(time.Now().Add(options.Deadline - now))
-	if !options.stillAllowed(clock, backend) {
+	if !options.stillAllowed(ctx, clock, backend) {
 		_ = conn.netConn.SetDeadline(time.Time{})
 		backend.putIdle(clock.Now(), conn, defaultKeepAlive)
 		return Attempt{Outcome: SendCancelled}
 	}
+	if options.Interruptible {
+		conn.interruptAtEnd(ctx)
+	}
 	options.Counts.sending(ctx)
 	sent, err := conn.netConn.Write(data)
-	if err != nil && sent == 0 {
-		// The kernel has taken nothing, so nothing has left.
-		backend.closeConn(conn)
-		return Attempt{Outcome: NotSent}
-	}
-	if err != nil && message.IsTimeout(err) {
+	if err != nil && (sent == 0 || message.IsTimeout(err)) {
 		backend.closeConn(conn)
-		return Attempt{Outcome: ConnectionFailed, Sent: true}
+		return writeFailure(sent, conn.stopInterruption())
 	}
 	// A backend that resets the connection while the request is written may have answered before.
 	reader := responseReader{
@@ -94,7 +97,7 @@
 	}
 	attempt = reader.readResponse()
 	if attempt.Response.BodyRest != nil {
-		attempt.Response.BodyRest = options.Bandwidth.Limit(attempt.Response.BodyRest)
+		attempt.Response.BodyRest = options.Bandwidth.Limit(ctx, attempt.Response.BodyRest)
 	}
 	if attempt.Outcome == StaleConnection {
 		backend.stats.ObserveStaleConn(clock.Now(), startedAt-conn.idleSince)
@@ -103,10 +106,27 @@
 	return attempt
 }
 
+// writeFailure is the attempt whose request could not be written as a whole. Where the kernel has
+// taken nothing, nothing has left.
+func writeFailure(sent int, interrupted bool) Attempt {
+	switch {
+	case sent == 0 && interrupted:
+		return Attempt{Outcome: SendCancelled}
+	case sent == 0:
+		return Attempt{Outcome: NotSent}
+	case interrupted:
+		return Attempt{Outcome: Abandoned, Sent: true}
+	}
+	return Attempt{Outcome: ConnectionFailed, Sent: true}
+}
+
 // stillAllowed tells, right before the request is written, that it may still be sent. The process
 // may have been suspended since the backend was chosen, and timers that have expired meanwhile may
 // not have fired yet; that is why the clock is read last.
-func (o AttemptOptions) stillAllowed(clock Clock, backend *Backend) bool {
+func (o AttemptOptions) stillAllowed(ctx context.Context, clock Clock, backend *Backend) bool {
+	if ctx.Err() != nil {
+		return false
+	}
 	if o.Permitted != nil && !o.Permitted(backend) {
 		return false
 	}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -25,6 +25,8 @@
 	// halves in each failureHalfLife.
 	failureStep     = 0.35
 	failureHalfLife = 2 * time.Second
+	// abandonedMemory is how long an abandoned attempt still counts for whether a backend is overdue.
+	abandonedMemory = time.Second
 	// latencyStep is the weight of one response in a backend's latency.
 	latencyStep = 0.15
 )
@@ -51,12 +53,15 @@
 	unavailableSpan  time.Duration
 	// inFlight counts attempts; busySince is when it last rose from 0, respondedAt when the backend
 	// last responded.
-	inFlight    int
-	busySince   time.Duration
-	respondedAt time.Duration
-	openConns   int
-	idleConns   []*Conn
-	closed      bool
+	// Until suspectUntil the backend counts as busy also with abandoned attempts, since nothing
+	// but their silence was learned of it.
+	inFlight     int
+	busySince    time.Duration
+	respondedAt  time.Duration
+	suspectUntil time.Duration
+	openConns    int
+	idleConns    []*Conn
+	closed       bool
 	// activeConns are the connections that carry a request now, with whether it is keyed.
 	activeConns map[*Conn]bool
 	// latency is a moving average in milliseconds, unknown while latencyAt is 0.
@@ -92,7 +97,7 @@
 // attemptStarted notes that an attempt begins, until attemptEnded.
 func (b *Backend) attemptStarted(now time.Duration) {
 	b.mu.Lock()
-	if b.inFlight == 0 {
+	if b.inFlight == 0 && now >= b.suspectUntil {
 		b.busySince = now
 	}
 	b.inFlight++
@@ -133,6 +138,19 @@
 		b.observeLatency(now, b.latency*1.5+20)
 	case TimedOut:
 		b.observeLatency(now, float64(took)/float64(time.Millisecond))
+	case Abandoned:
+		b.observeSilence(now, took)
+	}
+}
+
+// observeSilence takes that an attempt was abandoned after some time without a response, which tells
+// that the response would have taken longer. The caller holds the lock.
+func (b *Backend) observeSilence(now, took time.Duration) {
+	if longerThan := float64(took) / float64(time.Millisecond); b.latencyAt != 0 && longerThan > b.latency {
+		b.observeLatency(now, longerThan)
+	}
+	if b.respondedAt < now-took {
+		b.suspectUntil = now + abandonedMemory
 	}
 }
 
@@ -174,11 +192,11 @@
 	return b.failureScore * math.Exp2(-float64(now-b.failureScoreAt)/float64(failureHalfLife))
 }
 
-// overdue tells that the backend has had requests in flight for longer than its usual latency and
+// overdue tells that the backend has had requests in flight, or abandoned ones lately, for longer than its usual latency and
 // minOverdue without any response; it may be unreachable. defaultLatency, in milliseconds, stands for
 // the latency of a backend that has never responded. The caller holds the lock.
 func (b *Backend) overdue(now time.Duration, defaultLatency float64) bool {
-	if b.inFlight == 0 {
+	if b.inFlight == 0 && now >= b.suspectUntil {
 		return false
 	}
 	usual := b.latency
--- a/internal/proxy/bandwidth.go
+++ b/internal/proxy/bandwidth.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"sync"
 	"time"
@@ -43,15 +44,16 @@
 	return time.Duration(-l.available / l.rate * float64(time.Second))
 }
 
-// Limit returns a reader that keeps to the limit; a nil limiter has none.
-func (l *BandwidthLimiter) Limit(from io.Reader) io.Reader {
+// Limit returns a reader that keeps to the limit while a lifetime lasts; a nil limiter has none.
+func (l *BandwidthLimiter) Limit(ctx context.Context, from io.Reader) io.Reader {
 	if l == nil || l.rate <= 0 {
 		return from
 	}
-	return &limitedReader{l, from}
+	return &limitedReader{ctx, l, from}
 }
 
 type limitedReader struct {
+	ctx     context.Context
 	limiter *BandwidthLimiter
 	from    io.Reader
 }
@@ -59,7 +61,7 @@
 func (r *limitedReader) Read(into []byte) (size int, err error) {
 	size, err = r.from.Read(into[:min(len(into), bandwidthChunk)])
 	if wait := r.limiter.reserve(r.limiter.clock.Now(), size); wait > 0 {
-		time.Sleep(wait)
+		_ = pause(r.ctx, wait)
 	}
 	return size, err
 }
--- a/internal/proxy/bandwidth_test.go
+++ b/internal/proxy/bandwidth_test.go
@@ -24,11 +24,11 @@
 		t.Errorf("an idle limiter delays by %s", wait)
 	}
 	text := bytes.Repeat([]byte("large answer "), 3000)
-	got, err := io.ReadAll(NewBandwidthLimiter(NewClock(), 800).Limit(bytes.NewReader(text)))
+	got, err := io.ReadAll(NewBandwidthLimiter(NewClock(), 800).Limit(t.Context(), bytes.NewReader(text)))
 	if err != nil || !bytes.Equal(got, text) {
 		t.Errorf("%d of %d bytes, %v", len(got), len(text), err)
 	}
-	if (*BandwidthLimiter)(nil).Limit(nil) != nil {
+	if (*BandwidthLimiter)(nil).Limit(t.Context(), nil) != nil {
 		t.Error("without a limiter the response is read unchanged")
 	}
 }
--- a/internal/proxy/batcher.go
+++ b/internal/proxy/batcher.go
@@ -1,8 +1,12 @@
 package proxy
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 type pendingRequest[A, R any] struct {
+	ctx      context.Context
 	request  A
 	deadline time.Time
 	reply    chan R
@@ -56,7 +60,7 @@
 	var left time.Duration
 	requests, waiting := make([]A, 0, len(batch)), batch[:0]
 	for _, pending := range batch {
-		if remaining := pending.deadline.Sub(now); remaining > 0 {
+		if remaining := pending.deadline.Sub(now); remaining > 0 && pending.ctx.Err() == nil {
 			requests, waiting, left = append(requests, pending.request), append(waiting, pending), max(left, remaining)
 		}
 	}
@@ -72,10 +76,12 @@
 	}
 }
 
-// Call waits for the reply to a request no longer than limit; queued tells that it may
+// Call waits for the reply to a request no longer than limit and its context; queued tells that it may
 // have been sent, answered that reply is one.
-func (b *Batcher[A, R]) Call(request A, limit time.Duration) (reply R, queued, answered bool) {
-	pending := pendingRequest[A, R]{request, time.Now().Add(limit), make(chan R, 1)}
+func (b *Batcher[A, R]) Call(
+	ctx context.Context, request A, limit time.Duration,
+) (reply R, queued, answered bool) {
+	pending := pendingRequest[A, R]{ctx, request, time.Now().Add(limit), make(chan R, 1)}
 	select {
 	case b.queue <- pending:
 	default:
@@ -88,5 +94,7 @@
 		return reply, true, true
 	case <-timer.C:
 		return reply, true, false
+	case <-ctx.Done():
+		return reply, true, false
 	}
 }
--- a/internal/proxy/batcher_test.go
+++ b/internal/proxy/batcher_test.go
@@ -18,7 +18,7 @@
 		})
 		batch := make([]pendingRequest[int, rpc.ClaimResult], 2)
 		for i := range batch {
-			batch[i] = pendingRequest[int, rpc.ClaimResult]{i, time.Now().Add(time.Hour), make(chan rpc.ClaimResult, 1)}
+			batch[i] = pendingRequest[int, rpc.ClaimResult]{t.Context(), i, time.Now().Add(time.Hour), make(chan rpc.ClaimResult, 1)}
 		}
 		batcher.slots <- struct{}{}
 		batcher.sendBatch(batch)
@@ -39,9 +39,9 @@
 		return requests
 	})
 	batch := []pendingRequest[int, int]{
-		{1, time.Now().Add(-time.Second), make(chan int, 1)},
-		{2, time.Now().Add(time.Hour), make(chan int, 1)},
-		{3, time.Now().Add(time.Minute), make(chan int, 1)},
+		{t.Context(), 1, time.Now().Add(-time.Second), make(chan int, 1)},
+		{t.Context(), 2, time.Now().Add(time.Hour), make(chan int, 1)},
+		{t.Context(), 3, time.Now().Add(time.Minute), make(chan int, 1)},
 	}
 	second := batch[1].reply
 	batcher.slots <- struct{}{}
@@ -52,7 +52,7 @@
 	}
 	sent = nil
 	batcher.slots <- struct{}{}
-	batcher.sendBatch([]pendingRequest[int, int]{{1, time.Now().Add(-time.Second), make(chan int, 1)}})
+	batcher.sendBatch([]pendingRequest[int, int]{{t.Context(), 1, time.Now().Add(-time.Second), make(chan int, 1)}})
 	if sent != nil {
 		t.Fatalf("sent %v", sent)
 	}
@@ -81,10 +81,10 @@
 	go d.leader.RunBinds()
 	t.Cleanup(func() { close(d.leader.Done) })
 	claim := rpc.KeyClaim{Key: "k", Request: "a"}
-	if result := d.leader.claimOnce(claim, time.Second); result.Outcome != rpc.ClaimUnknown {
+	if result := d.leader.claimOnce(t.Context(), claim, time.Second); result.Outcome != rpc.ClaimUnknown {
 		t.Errorf("%+v", result)
 	}
-	result, accepted, answered := d.leader.binds.Call(rpc.SessionBinding{Session: "s"}, time.Second)
+	result, accepted, answered := d.leader.binds.Call(t.Context(), rpc.SessionBinding{Session: "s"}, time.Second)
 	if !accepted || !answered || result.Outcome != rpc.BindUnknown {
 		t.Errorf("%+v", result)
 	}
--- a/internal/proxy/claims.go
+++ b/internal/proxy/claims.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -25,12 +26,14 @@
 
 // Claim asks the leader for a key, again where an attempt had no clear outcome: to claim
 // twice for one request is the same as once. It waits for a leader no longer than
-// leaderWait, and for a clear outcome no longer than limit.
-func (l *LeaderClient) Claim(claim rpc.KeyClaim, leaderWait, limit time.Duration) (result rpc.ClaimResult) {
+// leaderWait, for a clear outcome no longer than limit, and for both no longer than its context.
+func (l *LeaderClient) Claim(
+	ctx context.Context, claim rpc.KeyClaim, leaderWait, limit time.Duration,
+) (result rpc.ClaimResult) {
 	startedAt := l.clock.Now()
 	unknown := false
-	for pause := claimRetryPause; ; pause *= 2 {
-		result = l.claimOnce(claim, min(claimCallTimeout, limit-(l.clock.Now()-startedAt)))
+	for wait := claimRetryPause; ; wait *= 2 {
+		result = l.claimOnce(ctx, claim, min(claimCallTimeout, limit-(l.clock.Now()-startedAt)))
 		switch result.Outcome {
 		case rpc.ClaimGranted, rpc.ClaimHeld:
 			return result
@@ -39,10 +42,12 @@
 		}
 		go l.searchForLeader()
 		elapsed := l.clock.Now() - startedAt
-		if elapsed+pause > limit || !unknown && elapsed+pause > leaderWait {
+		if elapsed+wait > limit || !unknown && elapsed+wait > leaderWait {
+			break
+		}
+		if !pause(ctx, wait) {
 			break
 		}
-		time.Sleep(pause)
 	}
 	if unknown {
 		result.Outcome = rpc.ClaimUnknown
@@ -51,11 +56,13 @@
 }
 
 // claimOnce claims once, in a call that others may share.
-func (l *LeaderClient) claimOnce(claim rpc.KeyClaim, limit time.Duration) (result rpc.ClaimResult) {
-	if limit <= 0 || !l.HasLeader() {
+func (l *LeaderClient) claimOnce(
+	ctx context.Context, claim rpc.KeyClaim, limit time.Duration,
+) (result rpc.ClaimResult) {
+	if ctx.Err() != nil || limit <= 0 || !l.HasLeader() {
 		return rpc.ClaimResult{Outcome: rpc.ClaimRejected}
 	}
-	result, queued, answered := l.claims.Call(claim, limit)
+	result, queued, answered := l.claims.Call(ctx, claim, limit)
 	switch {
 	case !queued:
 		result.Outcome = rpc.ClaimRejected
@@ -66,21 +73,23 @@
 }
 
 // Bind asks where a session is bound, again where there was no clear outcome: to ask
-// twice is the same as once. It waits no longer than leaderWait for a leader.
-func (l *LeaderClient) Bind(binding rpc.SessionBinding, leaderWait, limit time.Duration) (result rpc.BindResult) {
+// twice is the same as once. It waits no longer than leaderWait for a leader, and no longer than its
+// context.
+func (l *LeaderClient) Bind(
+	ctx context.Context, binding rpc.SessionBinding, leaderWait, limit time.Duration,
+) (result rpc.BindResult) {
 	startedAt := l.clock.Now()
-	for pause := claimRetryPause; ; pause *= 2 {
+	for wait := claimRetryPause; ; wait *= 2 {
 		if timeout := min(claimCallTimeout, limit-(l.clock.Now()-startedAt)); timeout > 0 && l.HasLeader() {
-			result, _, _ = l.binds.Call(binding, timeout)
+			result, _, _ = l.binds.Call(ctx, binding, timeout)
 		}
 		if result.Outcome != rpc.BindUnknown {
 			return result
 		}
 		go l.searchForLeader()
-		if l.clock.Now()-startedAt+pause > min(leaderWait, limit) {
+		if l.clock.Now()-startedAt+wait > min(leaderWait, limit) || !pause(ctx, wait) {
 			return result
 		}
-		time.Sleep(pause)
 	}
 }
 
--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -1,16 +1,19 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"tinpin/internal/message"
+	"tinpin/internal/rpc"
 )
 
 // departureTimeout bounds the wait for what must follow a client's leaving at once; the
@@ -192,6 +195,186 @@
 	})
 }
 
+// What may run only once is carried to its end though its client has left, its connection stays good, and
+// the outcome of a keyed operation is there for the repeat.
+func TestWhatMayRunOnceIsCarriedToItsEnd(t *testing.T) {
+	for _, route := range []string{"/longonce/", "/longkey/"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			arrived, gate := make(chan string, 4), make(chan struct{})
+			backend := newFakeBackend(t, "i-1", func(n int, r receivedRequest, conn net.Conn) bool {
+				arrived <- r.ID
+				<-gate
+				return respondOK(n, r, conn)
+			})
+			d := newTestDaemon(t, backend)
+			connectToLeader(t, d, &fakeCoordinator{script: grantClaim})
+			conn, _ := dialFrontend(t, d)
+			key := message.HeaderOperationKey + ": k"
+			_, _ = io.WriteString(conn, patientRequest("POST", route+"x", "a", "Content-Length: 0", key))
+			awaitSignal(t, arrived, "the arrival of the request")
+			leave(t, conn)
+			await(t, func() bool { return d.frontend.Departures().Clients.Load() == 1 })
+			close(gate)
+			await(t, func() bool { return d.frontend.InFlight() == 0 })
+			if complete := d.attempts.byOutcome[Complete].Load(); complete != 1 {
+				t.Errorf("%d responses were read", complete)
+			}
+			repeat := newRequest("POST", route+"x", "b")
+			repeat.Headers = append(repeat.Headers, message.HeaderField{message.HeaderOperationKey, "k"})
+			response := d.Handle(t.Context(), repeat, "60000")
+			wantBody, wantRuns := "body of b", 2
+			if route == "/longkey/" {
+				wantBody, wantRuns = "body of a", 1
+			}
+			if response.Status != 200 || string(response.Body) != wantBody || backend.count() != wantRuns {
+				t.Errorf("%d %q after %d runs", response.Status, response.Body, backend.count())
+			}
+			if backend.connections != 1 {
+				t.Errorf("%d connections to the backend", backend.connections)
+			}
+		})
+	}
+}
+
+// Whatever was taken for a request is given back once, at whichever point its client leaves.
+func TestWhatWasTakenForADepartedClientIsGivenBackOnce(t *testing.T) {
+	backend := newSilentBackend(t, "i-1", "")
+	d := newTestDaemon(t, backend.fakeBackend)
+	for _, path := range []string{"/long/x", "/stream/x", "/hedged/x"} {
+		conn, _ := dialFrontend(t, d)
+		body := "Content-Length: 4"
+		_, _ = io.WriteString(conn, patientRequest("GET", path, "a", body)+"four")
+		awaitSignal(t, backend.arrived, "the arrival of the request")
+		leave(t, conn)
+		awaitSignal(t, backend.ended, "the end of the request")
+	}
+	await(t, func() bool { return d.frontend.InFlight() == 0 })
+	target := d.state.Snapshot().Services["s"][0]
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	if target.inFlight != 0 || target.openConns != 0 || len(target.activeConns) != 0 || len(target.idleConns) != 0 {
+		t.Errorf("%d attempts, %d open, %d active, %d idle connections are left", target.inFlight, target.openConns,
+			len(target.activeConns), len(target.idleConns))
+	}
+	limiter := d.concurrency.forService("s")
+	if limiter.inFlight != 0 {
+		t.Errorf("%d requests are left at the concurrency limit", limiter.inFlight)
+	}
+	if abandoned := d.attempts.byOutcome[Abandoned].Load(); abandoned != 3 {
+		t.Errorf("%d attempts were abandoned", abandoned)
+	}
+}
+
+// A key that was claimed for a client that has left meanwhile is free again.
+func TestAClaimForADepartedClientIsReleased(t *testing.T) {
+	asked, gate := make(chan string, 4), make(chan struct{})
+	coordinator := &fakeCoordinator{script: func(int, rpc.KeyClaim) rpc.ClaimResult {
+		asked <- "claim"
+		<-gate
+		return rpc.ClaimResult{Outcome: rpc.ClaimGranted}
+	}}
+	backend := newFakeBackend(t, "i-1", respondOK)
+	d := newTestDaemon(t, backend)
+	connectToLeader(t, d, coordinator)
+	conn, _ := dialFrontend(t, d)
+	key := message.HeaderOperationKey + ": k"
+	_, _ = io.WriteString(conn, patientRequest("POST", "/longkey/x", "a", "Content-Length: 0", key))
+	awaitSignal(t, asked, "the claim")
+	leave(t, conn)
+	await(t, func() bool { return d.frontend.InFlight() == 0 })
+	close(gate)
+	await(t, func() bool {
+		coordinator.mu.Lock()
+		defer coordinator.mu.Unlock()
+		return slices.Contains(coordinator.released, rpc.KeyClaim{Key: "k", Request: "a"})
+	})
+	if backend.count() != 0 {
+		t.Error("the request was sent")
+	}
+}
+
+// A backend that answers nobody stays suspect though the attempts at it were abandoned.
+func TestASilentBackendStaysOverdueAfterAnAbandonedAttempt(t *testing.T) {
+	d := newTestDaemon(t, newFakeBackend(t, "i-1", respondOK))
+	backend := d.state.Snapshot().Services["s"][0]
+	overdue := func(now time.Duration) bool {
+		backend.mu.Lock()
+		defer backend.mu.Unlock()
+		return backend.overdue(now, 10)
+	}
+	begun, left := time.Hour, time.Hour+400*time.Millisecond
+	backend.attemptStarted(begun)
+	if !overdue(left) {
+		t.Fatal("not overdue after 400 ms of silence")
+	}
+	backend.attemptEnded(left, left-begun, Abandoned)
+	if !overdue(left + abandonedMemory/2) {
+		t.Error("forgotten as soon as the attempt was abandoned")
+	}
+	if overdue(left + abandonedMemory) {
+		t.Error("still overdue when the memory has passed")
+	}
+	backend.attemptStarted(left)
+	backend.attemptEnded(left+10*time.Millisecond, 10*time.Millisecond, Complete)
+	if overdue(left + 20*time.Millisecond) {
+		t.Error("overdue after a response")
+	}
+}
+
+// An interruption that was stopped in time leaves the connection alone, also when the lifetime ends later;
+// one that has happened is told.
+func TestInterruptionOfAConnection(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer func() { _, _ = ours.Close(), theirs.Close() }()
+	conn := &Conn{netConn: ours, interrupt: func() { _ = ours.SetDeadline(longAgo) }}
+	if conn.stopInterruption() {
+		t.Fatal("interrupted without an interruption")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	conn.interruptAtEnd(ctx)
+	if conn.stopInterruption() {
+		t.Fatal("interrupted before the end of the lifetime")
+	}
+	cancel()
+	go func() { _, _ = theirs.Write([]byte("x")) }()
+	if _, err := ours.Read(make([]byte, 1)); err != nil {
+		t.Fatal("interrupted after it was stopped: ", err)
+	}
+	conn.interruptAtEnd(ctx)
+	if _, err := ours.Read(make([]byte, 1)); !message.IsTimeout(err) {
+		t.Fatal("not interrupted: ", err)
+	}
+	for range 2 {
+		if !conn.stopInterruption() {
+			t.Fatal("an interruption was not told")
+		}
+	}
+}
+
+// What waits in a queue for a caller that has left is not sent.
+func TestABatchLeavesOutWhoHasLeft(t *testing.T) {
+	var sent []int
+	batcher := NewBatcher(4, 1, 4, func(requests []int, _ time.Duration) []int {
+		sent = append(sent, requests...)
+		return requests
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	batch := []pendingRequest[int, int]{
+		{ctx, 1, time.Now().Add(time.Hour), make(chan int, 1)},
+		{t.Context(), 2, time.Now().Add(time.Hour), make(chan int, 1)},
+	}
+	batcher.slots <- struct{}{}
+	batcher.sendBatch(batch)
+	if !slices.Equal(sent, []int{2}) {
+		t.Errorf("sent %v", sent)
+	}
+	if _, queued, answered := batcher.Call(ctx, 3, time.Hour); !queued || answered {
+		t.Error("a call of one who has left did not end as unanswered")
+	}
+}
+
 // await gives others their turn until a condition holds.
 func await(t *testing.T, holds func() bool) {
 	t.Helper()
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -38,7 +38,7 @@
 // execute makes the attempts of a plan, once the concurrency limit of its service lets it.
 func (d *Daemon) execute(ctx context.Context, plan *Plan) (response message.Response, kind apierror.Kind) {
 	if plan.Session != "" {
-		if kind = d.bind(plan); kind != apierror.None {
+		if kind = d.bind(ctx, plan); kind != apierror.None {
 			return response, plan.errorKind(kind)
 		}
 	}
@@ -47,7 +47,9 @@
 		if !d.mayWaitForCapacity(plan) {
 			return response, plan.errorKind(apierror.Overloaded)
 		}
-		time.Sleep(capacityPollInterval)
+		if !pause(ctx, capacityPollInterval) {
+			return response, apierror.ClientLeft
+		}
 	}
 	defer limiter.Release()
 	return d.attemptOrServerError(ctx, plan, limiter)
@@ -78,6 +80,9 @@
 ) (response message.Response, kind apierror.Kind) {
 	arrivals := 0
 	for {
+		if ctx.Err() != nil {
+			return response, apierror.ClientLeft
+		}
 		now := d.clock.Now()
 		if now >= plan.Deadline {
 			return response, plan.errorKind(apierror.DeadlineTooShort)
@@ -90,7 +95,7 @@
 			if !d.mayWaitForCapacity(plan) {
 				return response, plan.errorKind(apierror.Overloaded)
 			}
-			time.Sleep(capacityPollInterval)
+			_ = pause(ctx, capacityPollInterval)
 			continue
 		}
 		if arrivals > 0 && !d.allowRetry(now, plan, backend) {
@@ -103,7 +108,8 @@
 			if attempt.Response.BodyRest != nil {
 				return attempt.Response, apierror.None
 			}
-			plan.LastServerError = &attempt.Response
+			serverError := attempt.Response
+			plan.LastServerError = &serverError
 		}
 		switch step {
 		case StepRespond:
@@ -113,7 +119,7 @@
 		case StepRetry:
 			if plan.BoundBackend != "" {
 				// The retry goes to the same backend, which gets a moment to recover capacity.
-				time.Sleep(capacityPollInterval)
+				_ = pause(ctx, capacityPollInterval)
 			}
 		}
 	}
@@ -145,7 +151,8 @@
 func (d *Daemon) attemptOptions(plan *Plan, chosenAt time.Duration) (options AttemptOptions) {
 	options = AttemptOptions{
 		ChosenAt: chosenAt, Deadline: plan.Deadline, MaxIdle: defaultMaxIdle, Keyed: plan.Key != "",
-		Bandwidth: d.bandwidth, Permitted: d.mayReceive, Counts: &d.attempts, DisabledChecks: d.disabledChecks,
+		Interruptible: plan.Route.Type.Retryable(),
+		Bandwidth:     d.bandwidth, Permitted: d.mayReceive, Counts: &d.attempts, DisabledChecks: d.disabledChecks,
 	}
 	if plan.BoundBackend != "" {
 		options.Permitted = func(backend *Backend) bool {
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -59,7 +59,7 @@
 			plan.Next(d.clock.Now(), end.backend.ID, end.attempt)
 		case <-timer.C:
 			now := d.clock.Now()
-			if second := d.hedgeBackend(plan, backend, sentAt, now); second != nil {
+			if second := d.hedgeBackend(ctx, plan, backend, sentAt, now); second != nil {
 				d.startAttempt(ctx, plan, second, now, ended)
 				running++
 			}
@@ -84,9 +84,11 @@
 }
 
 // hedgeBackend is the backend for the hedged request, or nil where the first has responded to some
-// request meanwhile, no other can be chosen or no retry is allowed.
-func (d *Daemon) hedgeBackend(plan *Plan, first *Backend, sentAt, now time.Duration) *Backend {
-	if !first.noResponseSince(sentAt) || now >= plan.Deadline {
+// request meanwhile, no other can be chosen or no retry is allowed, or nobody wants the response.
+func (d *Daemon) hedgeBackend(
+	ctx context.Context, plan *Plan, first *Backend, sentAt, now time.Duration,
+) *Backend {
+	if ctx.Err() != nil || !first.noResponseSince(sentAt) || now >= plan.Deadline {
 		return nil
 	}
 	attempted := append([]rpc.EndpointID{first.ID}, plan.Attempted...)
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -32,7 +32,7 @@
 	if earlier != nil {
 		return d.replay(d.leader.Fetch(earlier.Response(), plan.Key, earlier.Request()), request.ID)
 	}
-	if response, granted := d.claim(plan, operation); !granted {
+	if response, granted := d.claim(ctx, plan, operation); !granted {
 		return response
 	}
 	response, kind := d.execute(ctx, plan)
@@ -49,14 +49,16 @@
 }
 
 // claim claims the key of a plan. Where it is not granted, the response is what the client gets.
-func (d *Daemon) claim(plan *Plan, operation *idempotency.HeldOperation) (response message.Response, granted bool) {
+func (d *Daemon) claim(
+	ctx context.Context, plan *Plan, operation *idempotency.HeldOperation,
+) (response message.Response, granted bool) {
 	request := plan.Request
 	limit := min(claimTimeout, plan.Deadline-d.clock.Now())
 	for retries := 0; ; retries++ {
 		claimedAt := d.clock.Now()
 		// A new leader may be there in a moment; the wait for one stays inside the time in which a
 		// rejection still lets the client retry in time.
-		claim := d.leader.Claim(rpc.KeyClaim{Key: plan.Key, Request: request.ID}, plan.Route.LatencyTarget/4, limit)
+		claim := d.leader.Claim(ctx, rpc.KeyClaim{Key: plan.Key, Request: request.ID}, plan.Route.LatencyTarget/4, limit)
 		switch claim.Outcome {
 		case rpc.ClaimGranted:
 			// The claim is valid for its window from when it was requested.
@@ -66,8 +68,9 @@
 			reply := d.recallFromHolder(plan.Key, claim)
 			released := reply.State == rpc.OperationReleased
 			if released && retries < maxClaimRetries && d.clock.Now()+limit/2 < plan.Deadline {
-				time.Sleep(d.recallPause)
-				continue
+				if pause(ctx, d.recallPause) {
+					continue
+				}
 			}
 			d.operations.Abandon(operation)
 			return d.replay(reply, request.ID), false
--- a/internal/proxy/keyed_test.go
+++ b/internal/proxy/keyed_test.go
@@ -187,14 +187,14 @@
 		t.Fatal("a peer that asks must learn that the key is released")
 	}
 	for released := false; !released; {
-		_ = d.leader.Claim(rpc.KeyClaim{Key: "other", Request: "x"}, 0, 30*time.Millisecond)
+		_ = d.leader.Claim(t.Context(), rpc.KeyClaim{Key: "other", Request: "x"}, 0, 30*time.Millisecond)
 		coordinator.mu.Lock()
 		released = len(coordinator.released) > 0 && coordinator.released[0] == rpc.KeyClaim{Key: "k", Request: "a"}
 		coordinator.mu.Unlock()
 	}
 	// It is released once, not again with every later claim.
 	for range 5 {
-		_ = d.leader.Claim(rpc.KeyClaim{Key: "other", Request: "x"}, 0, 30*time.Millisecond)
+		_ = d.leader.Claim(t.Context(), rpc.KeyClaim{Key: "other", Request: "x"}, 0, 30*time.Millisecond)
 	}
 	coordinator.mu.Lock()
 	defer coordinator.mu.Unlock()
@@ -217,7 +217,7 @@
 		t.Fatal(reply, err)
 	}
 	for released := false; !released; {
-		_ = d.leader.Claim(rpc.KeyClaim{Key: "other", Request: "x"}, 0, 30*time.Millisecond)
+		_ = d.leader.Claim(t.Context(), rpc.KeyClaim{Key: "other", Request: "x"}, 0, 30*time.Millisecond)
 		coordinator.mu.Lock()
 		released = len(coordinator.released) == 1 && coordinator.released[0] == rpc.KeyClaim{Key: "k", Request: "a"}
 		coordinator.mu.Unlock()
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -46,7 +46,7 @@
 	registry.Counter("requests_abandoned_total",
 		"Requests that were unanswered when their clients left.", nil, &departures.Requests)
 	registry.Counter("connections_unwatched_total",
-		"Connections no longer read while requests were unanswered.", nil, &departures.Unwatched)
+		"Waits for a response in which a client's leaving could not be noticed.", nil, &departures.Unwatched)
 	registry.Counter("attempts_sent_after_client_left_total",
 		"Attempts sent after the client had left.", nil, &d.attempts.sentAfterLeft)
 	registry.Counter("attempts_ended_after_client_left_total",
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -17,12 +17,15 @@
 	TimedOut
 	// ServerError: a complete response that tells of the backend's own failure.
 	ServerError
-	// SendCancelled: between the choice and the sending the backend was retired, or the
-	// choice became too old. Nothing has left.
+	// SendCancelled: between the choice and the sending the backend was retired, the choice
+	// became too old, or nobody wanted the response any more. Nothing has left.
 	SendCancelled
 	// StaleConnection: a connection that had been idle was reset before any byte of a
 	// response came. The backend had most likely closed it, but nothing proves that.
 	StaleConnection
+	// Abandoned: nobody wants the response any more, and the connection was closed to tell
+	// the backend so.
+	Abandoned
 )
 
 // execution is what an outcome proves about whether the backend has run the request.
@@ -64,6 +67,7 @@
 	ServerError:      {name: "server error", execution: executed, health: signBad, responded: true},
 	SendCancelled:    {name: "send cancelled", execution: notExecutedProven},
 	StaleConnection:  {name: "stale connection", execution: mayHaveExecuted},
+	Abandoned:        {name: "abandoned", execution: mayHaveExecuted},
 }
 
 // String names the outcome.
--- a/internal/proxy/outcome_test.go
+++ b/internal/proxy/outcome_test.go
@@ -29,6 +29,7 @@
 		{ServerError, true, StepRetry, StepRespond, apierror.None, 0, 1, true},
 		{SendCancelled, false, StepRetry, StepRetry, apierror.None, 0, 0, false},
 		{StaleConnection, true, StepRetry, StepFail, apierror.BackendFailed, 0, 0, false},
+		{Abandoned, true, StepFail, StepFail, apierror.ClientLeft, 0, 0, false},
 	}
 	if len(rows) != len(outcomeTable) {
 		t.Fatalf("%d rows for %d outcomes", len(rows), len(outcomeTable))
@@ -40,8 +41,8 @@
 				sent := r.outcome != NotSent && r.outcome != SendCancelled
 				step, kind := plan.Next(0, "b", Attempt{Outcome: r.outcome, Sent: sent})
 				want, wantKind := r.idempotent, apierror.None
-				if r.outcome == TimedOut {
-					wantKind = apierror.DeadlineExceeded
+				if want == StepFail {
+					wantKind = r.onceKind
 				}
 				if routeType == config.NonIdempotent {
 					want, wantKind = r.once, r.onceKind
--- a/internal/proxy/plan.go
+++ b/internal/proxy/plan.go
@@ -28,7 +28,7 @@
 	StartedAt    time.Duration
 	Deadline     time.Duration
 	AttemptsLeft int
-	// Attempted lists the backends of attempts that have ended.
+	// Attempted lists the backends of attempts that have ended, and not with the response.
 	Attempted []rpc.EndpointID
 	// MayHaveRun is set once an attempt ended without proof that nothing ran.
 	MayHaveRun bool
@@ -60,10 +60,10 @@
 	if attempt.Sent {
 		p.AttemptsLeft--
 	}
-	p.Attempted = append(p.Attempted, backend)
 	if attempt.Outcome == Complete {
 		return StepRespond, apierror.None
 	}
+	p.Attempted = append(p.Attempted, backend)
 	if outcomeTable[attempt.Outcome].execution != notExecutedProven {
 		p.MayHaveRun = true
 	}
@@ -76,6 +76,8 @@
 		return StepRetry, apierror.None
 	case TimedOut:
 		return StepFail, apierror.DeadlineExceeded
+	case Abandoned:
+		return StepFail, apierror.ClientLeft
 	case ConnectionFailed, StaleConnection:
 		if !p.Route.Type.Retryable() {
 			return StepFail, apierror.BackendFailed
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -30,6 +31,11 @@
 	// idleSince is when it was returned to the pool last, expiresAt when it may not be reused any more.
 	idleSince time.Duration
 	expiresAt time.Duration
+	// interrupt wakes whoever reads or writes; cancelInterruption keeps that from happening, and
+	// returns false where it has begun. interrupted is set once it has.
+	interrupt          func()
+	cancelInterruption func() bool
+	interrupted        bool
 }
 
 // isQuiet tells that no bytes have arrived and the backend has not closed the connection. It looks at
@@ -73,7 +79,7 @@
 }
 
 // dial opens a connection; it waits no longer than dialTimeout.
-func (b *Backend) dial(wait time.Duration) (conn *Conn, err error) {
+func (b *Backend) dial(ctx context.Context, wait time.Duration) (conn *Conn, err error) {
 	if wait > dialTimeout {
 		wait = dialTimeout
 	}
@@ -85,7 +91,7 @@
 	b.mu.Lock()
 	b.openConns++
 	b.mu.Unlock()
-	netConn, err := dialer.Dial("tcp4", b.Address)
+	netConn, err := dialer.DialContext(ctx, "tcp4", b.Address)
 	if err != nil {
 		b.mu.Lock()
 		b.openConns--
@@ -97,9 +103,15 @@
 	raw, err := netConn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		_ = netConn.Close()
+		b.mu.Lock()
+		b.openConns--
+		b.mu.Unlock()
 		return nil, err
 	}
-	return &Conn{netConn: netConn, raw: raw, reader: newLineReader(netConn), backend: b, fresh: true}, nil
+	interrupt := func() { _ = netConn.SetDeadline(longAgo) }
+	return &Conn{
+		netConn: netConn, raw: raw, reader: newLineReader(netConn), backend: b, fresh: true, interrupt: interrupt,
+	}, nil
 }
 
 // closeConn closes a connection that is not in the pool.
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"syscall"
@@ -50,7 +51,7 @@
 			return conn, nil
 		}
 	}
-	return backend.dial(probeTimeout)
+	return backend.dial(context.Background(), probeTimeout)
 }
 
 // readProbeResponse reads the response to a probe, or tells what it means that there is
--- a/internal/proxy/response_headers.go
+++ b/internal/proxy/response_headers.go
@@ -19,9 +19,12 @@
 // keepAliveOf is how long the connection that brought a response may stay idle.
 func keepAliveOf(response *http.Response) (keepAlive time.Duration) {
 	keepAlive = defaultKeepAlive
-	for _, part := range strings.Split(response.Header.Get("Keep-Alive"), ",") {
+	for part := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.Atoi(value); err == nil {
 			keepAlive = time.Duration(seconds)*time.Second - keepAliveMargin
 		}
 	}
--- a/internal/proxy/response_reader.go
+++ b/internal/proxy/response_reader.go
@@ -90,36 +90,45 @@
 
 // readFailed closes the connection and ends the attempt after an error of reading.
 func (r *responseReader) readFailed(err error) Attempt {
-	r.conn.backend.closeConn(r.conn)
 	switch {
 	case message.IsTimeout(err):
-		return Attempt{Outcome: TimedOut}
+		return r.end(TimedOut)
 	case !r.conn.fresh && r.nothingReceived() && errors.Is(err, syscall.ECONNRESET):
 		if r.disabledChecks.has(RetryAfterReset) {
-			return Attempt{Outcome: Rejected}
+			return r.end(Rejected)
 		}
-		return Attempt{Outcome: StaleConnection}
+		return r.end(StaleConnection)
 	}
-	return Attempt{Outcome: ConnectionFailed}
+	return r.end(ConnectionFailed)
 }
 
-// end closes the connection and ends the attempt.
+// end closes the connection and ends the attempt. A failure after it was interrupted tells nothing
+// of the backend.
 func (r *responseReader) end(outcome Outcome) Attempt {
+	interrupted := r.conn.stopInterruption()
 	r.conn.backend.closeConn(r.conn)
+	if interrupted && outcome != Rejected {
+		outcome = Abandoned
+	}
 	return Attempt{Outcome: outcome}
 }
 
 // releaseConn returns the connection to the pool if it may be reused, and closes it otherwise. It may
-// be reused only while every request on it has had exactly one response and nothing is left unread.
-func (r *responseReader) releaseConn(response *http.Response, keepAlive time.Duration, complete bool) {
+// be reused only while every request on it has had exactly one response and nothing is left unread. It
+// tells whether the connection was interrupted.
+func (r *responseReader) releaseConn(
+	response *http.Response, keepAlive time.Duration, complete bool,
+) (interrupted bool) {
 	backend := r.conn.backend
-	inStep := complete && !r.writeFailed && r.skipped == 0 && r.conn.reader.Buffered() == 0
+	interrupted = r.conn.stopInterruption()
+	inStep := complete && !interrupted && !r.writeFailed && r.skipped == 0 && r.conn.reader.Buffered() == 0
 	if inStep && !response.Close && keepAlive > 0 {
 		_ = r.conn.netConn.SetDeadline(time.Time{})
 		backend.putIdle(r.clock.Now(), r.conn, keepAlive)
-		return
+		return interrupted
 	}
 	backend.closeConn(r.conn)
+	return interrupted
 }
 
 // readResponse reads interim responses and responses to other requests up to the one to this request,
@@ -206,7 +215,9 @@
 	}
 	result.BodyRest, result.ContentLength, result.Chunked = rest, response.ContentLength, response.ContentLength < 0
 	result.Finish = func(complete bool) {
-		r.releaseConn(response, keepAlive, complete)
+		if r.releaseConn(response, keepAlive, complete) && !complete {
+			outcome = Abandoned
+		}
 		now := r.clock.Now()
 		backend.attemptEnded(now, now-r.startedAt, outcome)
 	}
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"hash/fnv"
 	"sort"
 	"sync"
@@ -120,7 +121,7 @@
 }
 
 // bind gives a plan with a session its backend, or tells why there is none.
-func (d *Daemon) bind(plan *Plan) (kind apierror.Kind) {
+func (d *Daemon) bind(ctx context.Context, plan *Plan) (kind apierror.Kind) {
 	s, idle := d.state.Policies.Sessions, time.Duration(plan.Rule.Idle)
 	limit := min(900*time.Millisecond, plan.Deadline-d.clock.Now())
 	server, outcome := s.binder.Bind(plan.Session, idle, affinity.RequestView{
@@ -128,7 +129,10 @@
 		MustLeave: func(server rpc.EndpointID) bool { return d.mustMove(d.state.Snapshot(), plan, server) },
 		ChooseNew: func() rpc.EndpointID { return d.placeSession(d.state.Snapshot(), plan) },
 		AskLeader: func(from, choice rpc.EndpointID) rpc.BindResult {
-			return d.leader.Bind(rpc.SessionBinding{Session: plan.Session, Service: plan.Service, Endpoint: choice, EndedEndpoint: from, IdleTimeout: idle}, plan.Route.LatencyTarget/4, limit)
+			binding := rpc.SessionBinding{
+				Session: plan.Session, Service: plan.Service, Endpoint: choice, EndedEndpoint: from, IdleTimeout: idle,
+			}
+			return d.leader.Bind(ctx, binding, plan.Route.LatencyTarget/4, limit)
 		},
 	})
 	plan.BoundBackend = server
--- a/internal/proxy/stub_node.go
+++ b/internal/proxy/stub_node.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"tinpin/internal/eventlog"
@@ -43,7 +44,7 @@
 
 // Claim claims one key.
 func (n *StubNode) Claim(key string) (granted bool) {
-	return n.leader.Claim(rpc.KeyClaim{Key: key, Request: key}, time.Second, time.Second).Outcome == rpc.ClaimGranted
+	return n.leader.Claim(context.Background(), rpc.KeyClaim{Key: key, Request: key}, time.Second, time.Second).Outcome == rpc.ClaimGranted
 }
 
 // Report reports one backend's health as the owner of its service would.
