Calls between daemons and operators' calls end with their callers

Change: the server of internal calls gives a request with the lifetime of its connection (rpc.Incoming; the bytes sent stay the same), an operator's call has that of its HTTP request. A held heartbeat ends with it; a proposal is not put into the log for a caller who has left, and what is in the log stands. Claims that are given back are carried out whoever has left.

--- a/internal/controller/config.go
+++ b/internal/controller/config.go
@@ -12,7 +12,7 @@
 )
 
 // updateConfig answers Config.Update.
-func (c *Controller) updateConfig(_ context.Context, body []byte) (err error) {
+func (c *Controller) updateConfig(ctx context.Context, body []byte) (err error) {
 	if err = c.requireLeader("/-/Config.Update"); err != nil {
 		return err
 	}
@@ -21,7 +21,7 @@
 	if err != nil {
 		return c.reject(history.Item, &httpapi.Error{Kind: apierror.InvalidConfig, Text: err.Error()})
 	}
-	result, err := c.propose(statemachine.Command{Kind: statemachine.CommandConfig, Body: body})
+	result, err := c.propose(ctx, statemachine.Command{Kind: statemachine.CommandConfig, Body: body})
 	if err != nil {
 		return err
 	}
--- a/internal/controller/documents.go
+++ b/internal/controller/documents.go
@@ -16,7 +16,7 @@
 // setDocument answers Orders.Set. The document is checked by the leader, which
 // knows the endpoint list and the regions, and again where it is applied, on the
 // state it meets there. With checkOnly it is not proposed.
-func (c *Controller) setDocument(_ context.Context, kind policy.Kind, body []byte, checkOnly bool) (err error) {
+func (c *Controller) setDocument(ctx context.Context, kind policy.Kind, body []byte, checkOnly bool) (err error) {
 	path := "/-/Orders.Set/" + string(kind)
 	if checkOnly {
 		path += "?check=true"
@@ -36,7 +36,7 @@
 		return c.confirmed(current, nil)
 	}
 	if invalid != nil {
-		if err = c.applyBarrier(); err != nil {
+		if err = c.applyBarrier(ctx); err != nil {
 			return err
 		}
 		if invalid = c.checkDocument(current, kind, body); invalid != nil {
@@ -47,7 +47,7 @@
 		}
 	}
 	command := statemachine.Command{Kind: statemachine.CommandDocument, Subject: string(kind), Body: body}
-	result, err := c.propose(command)
+	result, err := c.propose(ctx, command)
 	return c.acknowledge(history.Document, string(kind), "set", result, err)
 }
 
@@ -65,7 +65,7 @@
 }
 
 // withdrawDocument answers Orders.Withdraw.
-func (c *Controller) withdrawDocument(_ context.Context, kind policy.Kind, version policy.Version) (err error) {
+func (c *Controller) withdrawDocument(ctx context.Context, kind policy.Kind, version policy.Version) (err error) {
 	if !kind.Valid() {
 		return unknownKind(kind)
 	}
@@ -73,7 +73,7 @@
 		return err
 	}
 	command := statemachine.Command{Kind: statemachine.CommandDocument, Subject: string(kind), Number: uint64(version)}
-	result, err := c.propose(command)
+	result, err := c.propose(ctx, command)
 	return c.acknowledge(history.Document, string(kind), "withdrawn", result, err)
 }
 
--- a/internal/controller/documents_test.go
+++ b/internal/controller/documents_test.go
@@ -173,11 +173,29 @@
 
 func put(c *Controller, command statemachine.Command) func() error {
 	return func() (err error) {
-		_, err = c.propose(command)
+		_, err = c.propose(context.Background(), command)
 		return err
 	}
 }
 
+// A call whose caller has left before it was proposed changes nothing, and the same may be sent again.
+func TestACallOfAnOperatorWhoHasLeft(t *testing.T) {
+	c, _ := startSingle(t)
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := c.evacuate(gone, "z", true, ""); kind(err) != apierror.OutcomeUnknown {
+		t.Errorf("%v", err)
+	}
+	c.node.ReadState(func(state *statemachine.State) {
+		if len(state.Evacuations) != 0 {
+			t.Errorf("evacuated for nobody: %v", state.Evacuations)
+		}
+	})
+	if err := sure(t, func() error { return c.evacuate(t.Context(), "z", true, "") }); err != nil {
+		t.Error(err)
+	}
+}
+
 // A request with a name is confirmed again behind the opposite one, and has no
 // second effect.
 func TestNamedRequestsThroughAController(t *testing.T) {
--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -19,7 +19,7 @@
 }
 
 // evacuate answers Evacuations.Start and Evacuations.Stop.
-func (c *Controller) evacuate(_ context.Context, zone string, start bool, requestName string) (err error) {
+func (c *Controller) evacuate(ctx context.Context, zone string, start bool, requestName string) (err error) {
 	kind, verb := statemachine.CommandEndEvacuation, "Stop"
 	if start {
 		kind, verb = statemachine.CommandStartEvacuation, "Start"
@@ -29,7 +29,7 @@
 		return err
 	}
 	command := statemachine.Command{Kind: kind, Subject: zone, Claim: statemachine.Claim{Key: requestName}}
-	result, err := c.propose(command)
+	result, err := c.propose(ctx, command)
 	if err != nil {
 		return err
 	}
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"context"
+
 	"tinpin/internal/apierror"
 	"tinpin/internal/coordinator"
 	"tinpin/internal/httpapi"
@@ -41,9 +43,11 @@
 	return outcome
 }
 
-// propose puts a command before the controllers and waits for its outcome.
-func (c *Controller) propose(command statemachine.Command) (result statemachine.Result, err error) {
-	answer := c.node.Propose(command, c.proposalTimeout)
+// propose puts a command before the controllers and waits for its outcome, no longer than its caller does.
+func (c *Controller) propose(
+	ctx context.Context, command statemachine.Command,
+) (result statemachine.Result, err error) {
+	answer := c.node.Propose(ctx, command, c.proposalTimeout)
 	if !answer.Known {
 		return result, &httpapi.Error{Kind: apierror.OutcomeUnknown}
 	}
@@ -52,7 +56,7 @@
 
 // applyBarrier waits until all that this controller proposed is applied. Only
 // after it is a rejection from a look at this controller's own state a proven one.
-func (c *Controller) applyBarrier() (err error) {
-	_, err = c.propose(statemachine.Command{Kind: statemachine.CommandBarrier})
+func (c *Controller) applyBarrier(ctx context.Context) (err error) {
+	_, err = c.propose(ctx, statemachine.Command{Kind: statemachine.CommandBarrier})
 	return err
 }
--- a/internal/controller/retirement.go
+++ b/internal/controller/retirement.go
@@ -18,10 +18,10 @@
 // retireBackend answers Backends.Retire and, with restore, Backends.Restore. It
 // gives the phase that the retirement has reached.
 func (c *Controller) retireBackend(
-	_ context.Context, id rpc.EndpointID, restore bool, requestName string,
+	ctx context.Context, id rpc.EndpointID, restore bool, requestName string,
 ) (phase string, err error) {
 	if restore {
-		return c.restore(id, requestName)
+		return c.restore(ctx, id, requestName)
 	}
 	current, err := c.leading(withRequestName("/-/Backends.Retire/"+url.PathEscape(string(id)), requestName))
 	if err != nil {
@@ -37,14 +37,14 @@
 			Claim: statemachine.Claim{Holder: drain.ByOperator, Key: requestName},
 		},
 	}
-	return r.carryOut()
+	return r.carryOut(ctx)
 }
 
-func (c *Controller) restore(id rpc.EndpointID, requestName string) (phase string, err error) {
+func (c *Controller) restore(ctx context.Context, id rpc.EndpointID, requestName string) (phase string, err error) {
 	if _, err = c.leading(withRequestName("/-/Backends.Restore/"+url.PathEscape(string(id)), requestName)); err != nil {
 		return "", err
 	}
-	result, err := c.propose(statemachine.Command{
+	result, err := c.propose(ctx, statemachine.Command{
 		Kind: statemachine.CommandCancelRetire, Subject: string(id), Claim: statemachine.Claim{Key: requestName},
 	})
 	return "restored", c.acknowledge(history.Retirement, string(id), "restored", result, err)
@@ -59,11 +59,11 @@
 	earlier    earlierRetirement
 }
 
-func (r *retirement) carryOut() (phase string, err error) {
+func (r *retirement) carryOut(ctx context.Context) (phase string, err error) {
 	c := r.controller
 	service, invalid := r.check()
 	if invalid != nil {
-		if err = c.applyBarrier(); err != nil {
+		if err = c.applyBarrier(ctx); err != nil {
 			return "", err
 		}
 		if service, invalid = r.check(); invalid != nil {
@@ -71,7 +71,7 @@
 		}
 	}
 	r.command.Body = []byte(service)
-	result, err := c.propose(r.command)
+	result, err := c.propose(ctx, r.command)
 	if err = c.acknowledge(history.Retirement, string(r.id), "retired", result, err); err != nil {
 		return "", err
 	}
--- a/internal/coordinator/handler.go
+++ b/internal/coordinator/handler.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -62,9 +63,9 @@
 // Beat answers a heartbeat.
 //
 //words:frozen nodes call the method by this name
-func (h *Handler) Beat(request rpc.HeartbeatRequest, update *rpc.Update) (err error) {
+func (h *Handler) Beat(call rpc.Incoming[rpc.HeartbeatRequest], update *rpc.Update) (err error) {
 	if coordinator := h.coordinator.Load(); coordinator != nil {
-		if err = coordinator.Heartbeat(request, update); err != nil {
+		if err = coordinator.Heartbeat(call.Context(), call.Request, update); err != nil {
 			return err
 		}
 		if update.IsLeader && !h.ConfirmLeadership(coordinator) {
@@ -101,9 +102,9 @@
 }
 
 // Bind tells where sessions are bound.
-func (h *Handler) Bind(request rpc.BindRequest, reply *rpc.BindResponse) (err error) {
+func (h *Handler) Bind(call rpc.Incoming[rpc.BindRequest], reply *rpc.BindResponse) (err error) {
 	if coordinator := h.coordinator.Load(); coordinator != nil && h.ConfirmLeadership(coordinator) {
-		found := coordinator.Bind(request)
+		found := coordinator.Bind(call.Context(), call.Request)
 		if reply.IsLeader = h.ConfirmLeadership(coordinator); reply.IsLeader {
 			reply.Results, reply.Term = found, coordinator.term
 		}
@@ -115,13 +116,18 @@
 // Out of contact it takes none of them: that is a clear no, where a proposal that
 // nobody can commit has no outcome. Its answers come from the log and need no
 // further proof.
-func (h *Handler) Claim(request rpc.ClaimRequest, reply *rpc.ClaimResponse) (err error) {
-	coordinator, begun := h.coordinator.Load(), time.Now()
+func (h *Handler) Claim(call rpc.Incoming[rpc.ClaimRequest], reply *rpc.ClaimResponse) (err error) {
+	request, coordinator, begun := call.Request, h.coordinator.Load(), time.Now()
 	if coordinator == nil || !h.ConfirmLeadership(coordinator) {
 		return nil
 	}
 	reply.IsLeader = true
-	answers := h.node.ProposeAll(claimCommands(request), claimWait(request)-time.Since(begun))
+	ctx := call.Context()
+	if len(request.Releases) > 0 {
+		// Given back is given back, also by a node that has stopped since.
+		ctx = context.WithoutCancel(ctx)
+	}
+	answers := h.node.ProposeAll(ctx, claimCommands(request), claimWait(request)-time.Since(begun))
 	releases := len(request.Releases)
 	reply.Released = true
 	for _, answer := range answers[:releases] {
--- a/internal/coordinator/handler_test.go
+++ b/internal/coordinator/handler_test.go
@@ -46,7 +46,7 @@
 	request := rpc.HeartbeatRequest{
 		Node: rpc.Node{ID: "e", Ready: true}, KnownState: rpc.KnownState{LastItem: rpc.AfterAllItems},
 	}
-	err := handler.Beat(request, &update)
+	err := handler.Beat(rpc.NewIncoming(t.Context(), request), &update)
 	leads := update.Term != 0 || update.ShardMap != nil || len(update.Leases) > 0 || len(update.Nodes) > 0
 	if err != nil || update.IsLeader == lost || lost && leads {
 		t.Errorf("lost %v: update %+v, %v", lost, update, err)
@@ -74,7 +74,8 @@
 func checkBindAnswer(t *testing.T, handler *Handler, lost bool) {
 	t.Helper()
 	var bind rpc.BindResponse
-	err := handler.Bind(rpc.BindRequest{Bindings: []rpc.SessionBinding{{Session: "x"}}}, &bind)
+	request := rpc.BindRequest{Bindings: []rpc.SessionBinding{{Session: "x"}}}
+	err := handler.Bind(rpc.NewIncoming(t.Context(), request), &bind)
 	if err != nil || bind.IsLeader == lost || lost && len(bind.Results) > 0 {
 		t.Errorf("lost %v: bind %+v, %v", lost, bind, err)
 	}
@@ -84,7 +85,9 @@
 func checkClaimAnswer(t *testing.T, handler *Handler, lost bool) {
 	t.Helper()
 	var claim rpc.ClaimResponse
-	err := handler.Claim(rpc.ClaimRequest{Holder: "e", Claims: []rpc.KeyClaim{{Key: "k", Request: "r"}}}, &claim)
+	err := handler.Claim(rpc.NewIncoming(t.Context(), rpc.ClaimRequest{
+		Holder: "e", Claims: []rpc.KeyClaim{{Key: "k", Request: "r"}},
+	}), &claim)
 	if err != nil || claim.IsLeader == lost || lost && len(claim.Results) > 0 {
 		t.Errorf("lost %v: claim %+v, %v", lost, claim, err)
 	}
@@ -103,7 +106,7 @@
 	done := make(chan rpc.Update)
 	go func() {
 		var update rpc.Update
-		_ = handler.Beat(request, &update)
+		_ = handler.Beat(rpc.NewIncoming(t.Context(), request), &update)
 		done <- update
 	}()
 	// The heartbeat releases the lock only where it waits.
--- a/internal/coordinator/heartbeat.go
+++ b/internal/coordinator/heartbeat.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"time"
 
 	"tinpin/internal/eventlog"
@@ -21,8 +22,10 @@
 
 // Heartbeat notes a node's heartbeat and fills the update once there is
 // something to send, or when the heartbeat was held long enough. It leaves the
-// update empty where the term ended meanwhile.
-func (c *Coordinator) Heartbeat(request rpc.HeartbeatRequest, update *rpc.Update) (err error) {
+// update empty where the term ended meanwhile, or the node cannot be answered.
+func (c *Coordinator) Heartbeat(
+	ctx context.Context, request rpc.HeartbeatRequest, update *rpc.Update,
+) (err error) {
 	if err = validateHeartbeat(request); err != nil {
 		return c.rejections.reject(c.log, "heartbeat", request.ID, err)
 	}
@@ -42,6 +45,8 @@
 			return nil
 		case <-c.closed:
 			return nil
+		case <-ctx.Done():
+			return nil
 		}
 		c.mu.Lock()
 	}
--- a/internal/coordinator/policies.go
+++ b/internal/coordinator/policies.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -70,7 +71,7 @@
 	}
 	c.policies.proposing = true
 	go func() {
-		answers := c.node.ProposeAll(commands, proposeTimeout)
+		answers := c.node.ProposeAll(context.Background(), commands, proposeTimeout)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.policies.proposing = false
--- a/internal/coordinator/sessions.go
+++ b/internal/coordinator/sessions.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"strings"
@@ -141,7 +142,7 @@
 
 // Bind answers a batch of requests for bindings. Those it cannot answer for now
 // keep the zero outcome.
-func (c *Coordinator) Bind(request rpc.BindRequest) (found []rpc.BindResult) {
+func (c *Coordinator) Bind(ctx context.Context, request rpc.BindRequest) (found []rpc.BindResult) {
 	found = make([]rpc.BindResult, len(request.Bindings))
 	if _, settled, _, _, _ := c.node.Status(); !settled {
 		return found
@@ -150,7 +151,7 @@
 	if len(proposals.commands) == 0 {
 		return found
 	}
-	answers := c.node.ProposeAll(proposals.commands, bindTimeout)
+	answers := c.node.ProposeAll(ctx, proposals.commands, bindTimeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for k, i := range proposals.indexes {
@@ -246,7 +247,7 @@
 	s.proposing = true
 	commands := s.pendingUnbinds
 	go func() {
-		answers := c.node.ProposeAll(commands, bindTimeout)
+		answers := c.node.ProposeAll(context.Background(), commands, bindTimeout)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.sessions.proposing, c.sessions.pendingUnbinds = false, nil
--- a/internal/coordinator/validate_test.go
+++ b/internal/coordinator/validate_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"context"
 	"errors"
 	"math"
 	"reflect"
@@ -73,7 +74,7 @@
 		corrupt(&request)
 		revision := c.revisions.Current()
 		var update rpc.Update
-		if err := c.Heartbeat(request, &update); !errors.As(err, new(*InvalidCallError)) {
+		if err := c.Heartbeat(t.Context(), request, &update); !errors.As(err, new(*InvalidCallError)) {
 			t.Errorf("%s: %v", name, err)
 		}
 		if c.nodes.registry.Count() != 0 || c.revisions.Current() != revision || len(c.outcomes.pendingByOwner) != 0 ||
@@ -84,11 +85,30 @@
 	}
 	c := newTestCoordinator()
 	var update rpc.Update
-	if err := c.Heartbeat(good, &update); err != nil || c.nodes.registry.Count() != 1 {
+	if err := c.Heartbeat(t.Context(), good, &update); err != nil || c.nodes.registry.Count() != 1 {
 		t.Errorf("a good heartbeat: %v", err)
 	}
 }
 
+// A heartbeat that is held open ends with the node's connection, and nothing is made for nobody.
+func TestAHeldHeartbeatEndsWithItsNode(t *testing.T) {
+	c := newTestCoordinator()
+	request := rpc.HeartbeatRequest{
+		Node:       rpc.Node{ID: "e", Zone: "z", Ready: true},
+		KnownState: rpc.KnownState{Term: 7, LastItem: rpc.AfterAllItems, EndpointsComplete: true},
+		MaxWait:    time.Second,
+	}
+	request.Revision = c.revisions.Current() + 100
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	var update rpc.Update
+	go func() { ended <- c.Heartbeat(ctx, request, &update) }()
+	cancel()
+	if err := <-ended; err != nil || !reflect.DeepEqual(update, rpc.Update{}) {
+		t.Errorf("%+v, %v", update, err)
+	}
+}
+
 func TestMalformedReportsAreRejectedAndChangeNothing(t *testing.T) {
 	report := func() rpc.HealthReport {
 		return rpc.HealthReport{
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -4,6 +4,7 @@
 // member asks to become one.
 
 import (
+	"context"
 	crand "crypto/rand"
 	"encoding/hex"
 	"net"
@@ -137,7 +138,7 @@
 		n.mu.RUnlock()
 		if upto > 0 {
 			select {
-			case n.proposals <- proposal{statemachine.Command{Kind: statemachine.CommandExpireClaims, Number: upto}, make(chan Outcome, 1), time.Now(), proposalTimeout}:
+			case n.proposals <- proposal{context.Background(), statemachine.Command{Kind: statemachine.CommandExpireClaims, Number: upto}, make(chan Outcome, 1), time.Now(), proposalTimeout}:
 			default:
 			}
 		}
--- a/internal/node/proposals.go
+++ b/internal/node/proposals.go
@@ -4,6 +4,7 @@
 // answered as unknown, never as rejected.
 
 import (
+	"context"
 	"time"
 
 	"tinpin/internal/raft"
@@ -26,15 +27,16 @@
 }
 
 type proposal struct {
+	ctx       context.Context
 	command   statemachine.Command
 	done      chan Outcome
 	createdAt time.Time
 	timeout   time.Duration
 }
 
-// expired reports whether the caller has given up on the proposal by now, or is about to.
+// expired reports whether the caller has left, or has given up on the proposal by now or is about to.
 func (p proposal) expired(now time.Time) bool {
-	return now.Sub(p.createdAt) >= min(p.timeout, proposalTimeout)
+	return p.ctx.Err() != nil || now.Sub(p.createdAt) >= min(p.timeout, proposalTimeout)
 }
 
 type pendingEntry struct {
@@ -43,12 +45,15 @@
 }
 
 // Propose proposes a command to the group and waits for its outcome.
-func (n *Node) Propose(command statemachine.Command, limit time.Duration) (answer Outcome) {
-	return n.ProposeAll([]statemachine.Command{command}, limit)[0]
+func (n *Node) Propose(ctx context.Context, command statemachine.Command, limit time.Duration) (answer Outcome) {
+	return n.ProposeAll(ctx, []statemachine.Command{command}, limit)[0]
 }
 
-// ProposeAll proposes several commands at once.
-func (n *Node) ProposeAll(commands []statemachine.Command, limit time.Duration) (answers []Outcome) {
+// ProposeAll proposes several commands at once. Of a caller who has left nothing more is put into the
+// log; what is in it stands.
+func (n *Node) ProposeAll(
+	ctx context.Context, commands []statemachine.Command, limit time.Duration,
+) (answers []Outcome) {
 	answers = make([]Outcome, len(commands))
 	done := make([]chan Outcome, len(commands))
 	now := time.Now()
@@ -57,7 +62,7 @@
 	for i, command := range commands {
 		done[i] = make(chan Outcome, 1)
 		select {
-		case n.proposals <- proposal{command, done[i], now, limit}:
+		case n.proposals <- proposal{ctx, command, done[i], now, limit}:
 		default:
 			done[i] <- Outcome{Rejected: true}
 		}
@@ -66,13 +71,20 @@
 		select {
 		case answers[i] = <-done[i]:
 		case <-timer.C:
-			for ; i < len(done); i++ {
-				select {
-				case answers[i] = <-done[i]:
-				default:
-				}
-			}
-			return answers
+			return collect(answers, done, i)
+		case <-ctx.Done():
+			return collect(answers, done, i)
+		}
+	}
+	return answers
+}
+
+// collect adds the outcomes from one on that are there by now.
+func collect(answers []Outcome, done []chan Outcome, from int) []Outcome {
+	for i := from; i < len(done); i++ {
+		select {
+		case answers[i] = <-done[i]:
+		default:
 		}
 	}
 	return answers
--- a/internal/node/proposals_test.go
+++ b/internal/node/proposals_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"math/rand"
 	"testing"
 	"time"
@@ -50,7 +51,7 @@
 
 func (n *Node) put(age, limit time.Duration) (done chan Outcome) {
 	done = make(chan Outcome, 1)
-	n.proposeBatch(proposal{statemachine.Command{Kind: statemachine.CommandClaim, Claim: statemachine.Claim{Key: "k", Request: "r"}}, done, time.Now().Add(-age), limit})
+	n.proposeBatch(proposal{context.Background(), statemachine.Command{Kind: statemachine.CommandClaim, Claim: statemachine.Claim{Key: "k", Request: "r"}}, done, time.Now().Add(-age), limit})
 	return done
 }
 
@@ -81,7 +82,7 @@
 		t.Errorf("the log went from %d to %d while the leadership is handed over", lastBefore, handsOver.raft.LastIndex())
 	}
 	// The first two wait, the third finds no room.
-	answers := n.ProposeAll(make([]statemachine.Command, 3), time.Millisecond)
+	answers := n.ProposeAll(t.Context(), make([]statemachine.Command, 3), time.Millisecond)
 	if answers[0] != (Outcome{}) || answers[1] != (Outcome{}) || !answers[2].Rejected {
 		t.Errorf("a full ring: %+v", answers)
 	}
@@ -123,11 +124,37 @@
 	}
 }
 
+// What its caller has left behind is not put into the log; what is in it may be carried out.
+func TestAProposalOfACallerWhoHasLeft(t *testing.T) {
+	n := wishing(t, 3)
+	last := n.raft.LastIndex()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan Outcome, 1)
+	command := statemachine.Command{Kind: statemachine.CommandBarrier}
+	n.proposeBatch(proposal{ctx, command, done, time.Now(), time.Second})
+	if n.raft.LastIndex() != last+1 {
+		t.Fatalf("the log went from %d to %d", last, n.raft.LastIndex())
+	}
+	cancel()
+	if answer, now := answered(done); now {
+		t.Errorf("%+v for what is in the log", answer)
+	}
+	late := make(chan Outcome, 1)
+	n.proposeBatch(proposal{ctx, command, late, time.Now(), time.Second})
+	if answer, now := answered(late); !now || !answer.Rejected || n.raft.LastIndex() != last+1 {
+		t.Errorf("%+v, answered %v, the log ends at %d", answer, now, n.raft.LastIndex())
+	}
+	// A caller who leaves while it waits learns nothing.
+	if answer := n.Propose(ctx, command, time.Hour); answer != (Outcome{}) {
+		t.Errorf("%+v", answer)
+	}
+}
+
 // What nobody waits for any more is not put before the cores: this node has none
 // to put it before.
 func TestAWishThatNobodyWaitsForIsDropped(t *testing.T) {
 	node := &Node{proposals: make(chan proposal, 4)}
-	answers := node.ProposeAll([]statemachine.Command{{Kind: statemachine.CommandClaim}, {Kind: statemachine.CommandClaim}}, 0)
+	answers := node.ProposeAll(t.Context(), []statemachine.Command{{Kind: statemachine.CommandClaim}, {Kind: statemachine.CommandClaim}}, 0)
 	for _, answer := range answers {
 		if answer.Known || answer.Rejected {
 			t.Fatalf("%+v before anybody looked at it", answer)
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/gob"
 	"io"
 	"log"
@@ -54,18 +55,34 @@
 	encoder *gob.Encoder
 	buffer  *bufio.Writer
 	closed  bool
+	// ctx is the lifetime of the connection; cancel ends it.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 func newServerCodec(conn io.ReadWriteCloser) (codec *serverCodec) {
 	buffer := bufio.NewWriter(conn)
-	return &serverCodec{conn: conn, decoder: gob.NewDecoder(conn), encoder: gob.NewEncoder(buffer), buffer: buffer}
+	codec = &serverCodec{conn: conn, decoder: gob.NewDecoder(conn), encoder: gob.NewEncoder(buffer), buffer: buffer}
+	codec.ctx, codec.cancel = context.WithCancel(context.Background())
+	return codec
 }
 
+// ReadRequestHeader also notices the end of the connection: net/rpc waits for the calls at work
+// before it closes the codec.
 func (c *serverCodec) ReadRequestHeader(header *rpc.Request) (err error) {
-	return c.decoder.Decode(header)
+	if err = c.decoder.Decode(header); err != nil {
+		c.cancel()
+	}
+	return err
 }
 
-func (c *serverCodec) ReadRequestBody(body any) (err error) { return wire.Decode(c.decoder, body) }
+func (c *serverCodec) ReadRequestBody(body any) (err error) {
+	if incoming, is := body.(withLifetime); is {
+		incoming.setContext(c.ctx)
+		body = incoming.body()
+	}
+	return wire.Decode(c.decoder, body)
+}
 
 func (c *serverCodec) WriteResponse(header *rpc.Response, body any) (err error) {
 	if err = c.encoder.Encode(header); err == nil {
@@ -85,6 +102,7 @@
 
 // Close ends the connection, once.
 func (c *serverCodec) Close() (err error) {
+	c.cancel()
 	if c.closed {
 		return nil
 	}
