The attempt that lost a hedge ends with the answer; fewer allocations on the path

Cause: the loser of a hedged request went on to its own end though its client was answered, and perhaps gone. Change: each attempt has a lifetime of its own below its request's, and the winner ends the other. Reading a response, the look at an idle connection, the permits of a choice and the common head allocate less.

--- a/internal/message/request.go
+++ b/internal/message/request.go
@@ -29,7 +29,9 @@
 // buildCommonHead writes the part of the head that is the same in every attempt.
 func (r *Request) buildCommonHead() {
 	head := make([]byte, 0, 512)
-	head = append(head, r.Method+" "+r.Target+" HTTP/1.1\r\nHost: "+r.Host+"\r\n"...)
+	for _, part := range [...]string{r.Method, " ", r.Target, " HTTP/1.1\r\nHost: ", r.Host, "\r\n"} {
+		head = append(head, part...)
+	}
 	for _, field := range r.Headers {
 		head = append(head, field[0]...)
 		head = append(head, ": "...)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -29,6 +29,11 @@
 	Sent bool
 }
 
+// permits says which backends may be sent requests.
+type permits interface {
+	mayReceive(backend *Backend) bool
+}
+
 // AttemptOptions says how a request may be sent.
 type AttemptOptions struct {
 	// ChosenAt is when the backend was chosen, Deadline when the request ends; MaxIdle is how
@@ -38,8 +43,8 @@
 	// Interruptible tells that the request may be broken off when its lifetime ends.
 	Interruptible bool
 	Bandwidth     *BandwidthLimiter
-	// Permitted is asked once a connection is at hand whether the request may still go.
-	Permitted      func(backend *Backend) bool
+	// Permits is asked once a connection is at hand whether the request may still go.
+	Permits        permits
 	Counts         *attemptCounts
 	DisabledChecks DisabledChecks
 }
@@ -127,7 +132,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if o.Permitted != nil && !o.Permitted(backend) {
+	if o.Permits != nil && !o.Permits.mayReceive(backend) {
 		return false
 	}
 	now := clock.Now()
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -200,14 +200,14 @@
 			AttemptOptions{ChosenAt: now - choiceLifetime - time.Hour, Deadline: now + time.Hour}, SendCancelled,
 		},
 		"deadline passes while permission is checked": {AttemptOptions{
-			ChosenAt: now, Deadline: now + 50*time.Millisecond, Permitted: func(*Backend) bool {
+			ChosenAt: now, Deadline: now + 50*time.Millisecond, Permits: permitsFunc(func(*Backend) bool {
 				for d.clock.Now() < now+50*time.Millisecond {
 				}
 				return true
-			},
+			}),
 		}, SendCancelled},
 		"not permitted": {AttemptOptions{
-			ChosenAt: now, Deadline: now + time.Hour, Permitted: func(*Backend) bool { return false },
+			ChosenAt: now, Deadline: now + time.Hour, Permits: permitsFunc(func(*Backend) bool { return false }),
 		}, SendCancelled},
 		"deadline has passed": {AttemptOptions{ChosenAt: now, Deadline: now}, NotSent},
 	} {
@@ -315,16 +315,21 @@
 	if attempt.Outcome != Complete {
 		t.Fatalf("%+v", attempt)
 	}
-	options.Permitted = func(target *Backend) bool {
+	options.Permits = permitsFunc(func(target *Backend) bool {
 		resetConn(<-conns)
 		for active := range target.activeConns {
 			for active.isQuiet() {
 			}
 		}
 		return true
-	}
+	})
 	attempt = runAttempt(t.Context(), d.clock, target, newRequest("POST", "/once/2", "b"), options)
 	if attempt.Outcome != NotSent || attempt.Sent || backend.count() != 1 {
 		t.Fatalf("%+v after %d arrivals", attempt, backend.count())
 	}
 }
+
+// permitsFunc decides by a function which backends may be sent requests.
+type permitsFunc func(backend *Backend) bool
+
+func (f permitsFunc) mayReceive(backend *Backend) bool { return f(backend) }
--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -195,6 +195,33 @@
 	})
 }
 
+// Once a hedged request is answered, the other attempt is work for nobody: its backend is told so at once,
+// and the response of the one that won stays whole, also where it is passed on as it comes.
+func TestTheAttemptThatLostAHedgeEnds(t *testing.T) {
+	for name, body := range map[string]string{
+		"short response": "5\r\nwhole\r\n0\r\n\r\n",
+		"streamed":       chunk(maxBufferedBody+1) + "0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			silent := newSilentBackend(t, "i-1", "")
+			answering := newFakeBackend(t, "i-2", func(_ int, r receivedRequest, conn net.Conn) bool {
+				_, err := io.WriteString(conn, responseHead(r.ID)+body)
+				return err == nil
+			})
+			d := newTestDaemon(t, silent.fakeBackend, answering)
+			d.state.backends["i-2"].latency, d.state.backends["i-2"].latencyAt = 1e6, 1
+			conn, in := dialFrontend(t, d)
+			_, _ = io.WriteString(conn, patientRequest("GET", "/hedged/x", "a"))
+			response, got, err := readResponseFrom(t, in, "GET")
+			if err != nil || response.StatusCode != 200 || len(got) < 4 {
+				t.Fatalf("%v: %d bytes, %v", response, len(got), err)
+			}
+			awaitSignal(t, silent.ended, "the end of the attempt that lost")
+		})
+	}
+}
+
 // What may run only once is carried to its end though its client has left, its connection stays good, and
 // the outcome of a keyed operation is there for the repeat.
 func TestWhatMayRunOnceIsCarriedToItsEnd(t *testing.T) {
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -152,13 +152,10 @@
 	options = AttemptOptions{
 		ChosenAt: chosenAt, Deadline: plan.Deadline, MaxIdle: defaultMaxIdle, Keyed: plan.Key != "",
 		Interruptible: plan.Route.Type.Retryable(),
-		Bandwidth:     d.bandwidth, Permitted: d.mayReceive, Counts: &d.attempts, DisabledChecks: d.disabledChecks,
+		Bandwidth:     d.bandwidth, Permits: d, Counts: &d.attempts, DisabledChecks: d.disabledChecks,
 	}
 	if plan.BoundBackend != "" {
-		options.Permitted = func(backend *Backend) bool {
-			return !backend.isDraining() && d.warmUpLeased(backend) &&
-				d.state.Policies.KeepsSessions(d.clock.Now(), backend.ID, plan.Service)
-		}
+		options.Permits = sessionPermits{d, plan.Service}
 	}
 	if !plan.Route.Type.Retryable() {
 		options.MaxIdle = d.settings.MaxIdleNonIdempotent
@@ -171,6 +168,18 @@
 	return options
 }
 
+// sessionPermits says which backends may be sent requests of the sessions that are bound to them.
+type sessionPermits struct {
+	daemon  *Daemon
+	service rpc.ServiceName
+}
+
+func (p sessionPermits) mayReceive(backend *Backend) bool {
+	d := p.daemon
+	return !backend.isDraining() && d.warmUpLeased(backend) &&
+		d.state.Policies.KeepsSessions(d.clock.Now(), backend.ID, p.service)
+}
+
 // criteria says which backends a plan's next attempt may choose from.
 func (d *Daemon) criteria(plan *Plan, attempted []rpc.EndpointID) (criteria Criteria) {
 	criteria = Criteria{
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -15,44 +15,60 @@
 	hedgeLatencyFactor = 2.2
 )
 
+// maxHedged is how many attempts of one request run beside each other.
+const maxHedged = 2
+
+// runningAttempt is an attempt that has begun.
+type runningAttempt struct {
+	backend *Backend
+	abandon context.CancelFunc
+}
+
 // endedAttempt is an attempt that has ended, and its backend.
 type endedAttempt struct {
 	attempt Attempt
 	backend *Backend
 }
 
+// hedgedRequest is a request with the attempts at it that run beside each other.
+type hedgedRequest struct {
+	daemon  *Daemon
+	plan    *Plan
+	begun   [maxHedged]runningAttempt
+	count   int
+	running int
+	ended   chan endedAttempt
+}
+
 // attemptWithHedge sends to one backend. Where the request is idempotent and the backend has
 // responded to no request at all for hedgeDelay, a second backend is sent the same request and the
-// first complete response is taken; the other is discarded. arrivals counts the attempts that were
-// sent.
+// first complete response is taken; the other attempt is abandoned. arrivals counts the attempts that
+// were sent.
 func (d *Daemon) attemptWithHedge(
 	ctx context.Context, plan *Plan, backend *Backend, chosenAt time.Duration, arrivals *int,
 ) (attempt Attempt, answering *Backend) {
 	wait := hedgeDelay(plan, backend)
-	if !plan.Route.Type.Retryable() || plan.AttemptsLeft < 2 || wait <= 0 || plan.BoundBackend != "" {
+	if !plan.Route.Type.Retryable() || plan.AttemptsLeft < maxHedged || wait <= 0 || plan.BoundBackend != "" {
 		attempt = runAttempt(ctx, d.clock, backend, plan.Request, d.attemptOptions(plan, chosenAt))
 		if attempt.Sent {
 			*arrivals++
 		}
 		return attempt, backend
 	}
-	ended := make(chan endedAttempt, 2)
+	hedged := &hedgedRequest{daemon: d, plan: plan, ended: make(chan endedAttempt, maxHedged)}
 	sentAt := d.clock.Now()
-	d.startAttempt(ctx, plan, backend, chosenAt, ended)
-	running := 1
+	hedged.begin(ctx, backend, chosenAt)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		select {
-		case end := <-ended:
-			running--
+		case end := <-hedged.ended:
+			hedged.running--
 			if end.attempt.Sent {
 				*arrivals++
 			}
-			if end.attempt.Outcome == Complete || running == 0 {
-				if running > 0 {
-					go discard(ended)
-				}
+			if end.attempt.Outcome == Complete || hedged.running == 0 {
+				hedged.abandonAllBut(end.backend)
 				return end.attempt, end.backend
 			}
 			// One of two has failed; the other may yet answer.
@@ -60,8 +76,7 @@
 		case <-timer.C:
 			now := d.clock.Now()
 			if second := d.hedgeBackend(ctx, plan, backend, sentAt, now); second != nil {
-				d.startAttempt(ctx, plan, second, now, ended)
-				running++
+				hedged.begin(ctx, second, now)
 			}
 		}
 	}
@@ -73,16 +88,55 @@
 	return max(targetShare, time.Duration(hedgeLatencyFactor*backend.stats.MeanLatency())*time.Millisecond)
 }
 
-// startAttempt sends to a backend on a goroutine of its own, which sends the result on a channel.
-func (d *Daemon) startAttempt(
-	ctx context.Context, plan *Plan, backend *Backend, chosenAt time.Duration, ended chan<- endedAttempt,
-) {
+// begin sends to a backend on a goroutine of its own. The attempt lives no longer than its request,
+// and until it is abandoned.
+func (h *hedgedRequest) begin(ctx context.Context, backend *Backend, chosenAt time.Duration) {
+	ctx, abandon := context.WithCancel(ctx)
+	h.begun[h.count] = runningAttempt{backend, abandon}
+	h.count++
+	h.running++
 	go func() {
+		d, plan := h.daemon, h.plan
 		attempt := runAttempt(ctx, d.clock, backend, plan.Request, d.attemptOptions(plan, chosenAt))
-		ended <- endedAttempt{attempt, backend}
+		attempt.whenFinished(abandon)
+		h.ended <- endedAttempt{attempt, backend}
+	}()
+}
+
+// abandonAllBut ends the attempts that have lost to a backend's, and their responses if they have any by
+// then.
+func (h *hedgedRequest) abandonAllBut(winner *Backend) {
+	if h.running == 0 {
+		return
+	}
+	for _, attempt := range h.begun[:h.count] {
+		if attempt.backend != winner {
+			attempt.abandon()
+		}
+	}
+	go func() {
+		for range h.running {
+			if end := <-h.ended; end.attempt.Response.Finish != nil {
+				end.attempt.Response.Finish(false)
+			}
+		}
 	}()
 }
 
+// whenFinished has a function called once nothing more is read for the attempt: now, or when its
+// response was passed on to its end.
+func (a *Attempt) whenFinished(call func()) {
+	finish := a.Response.Finish
+	if finish == nil {
+		call()
+		return
+	}
+	a.Response.Finish = func(complete bool) {
+		finish(complete)
+		call()
+	}
+}
+
 // hedgeBackend is the backend for the hedged request, or nil where the first has responded to some
 // request meanwhile, no other can be chosen or no retry is allowed, or nobody wants the response.
 func (d *Daemon) hedgeBackend(
@@ -98,10 +152,3 @@
 	}
 	return second
 }
-
-// discard receives the attempt that lost and releases its connection.
-func discard(ended <-chan endedAttempt) {
-	if end := <-ended; end.attempt.Response.Finish != nil {
-		end.attempt.Response.Finish(false)
-	}
-}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 
 	"tinpin/internal/eventlog"
+	"tinpin/internal/frontend"
 	"tinpin/internal/metrics"
 )
 
@@ -22,7 +24,7 @@
 
 // sending notes that a request is about to be written to a backend.
 func (c *attemptCounts) sending(ctx context.Context) {
-	if c != nil && ctx.Err() != nil {
+	if c != nil && clientLeft(ctx) {
 		c.sentAfterLeft.Add(1)
 	}
 }
@@ -33,11 +35,16 @@
 		return
 	}
 	c.byOutcome[outcome].Add(1)
-	if ctx.Err() != nil {
+	if clientLeft(ctx) {
 		c.endedAfterLeft.Add(1)
 	}
 }
 
+// clientLeft tells that a lifetime has ended because the client left.
+func clientLeft(ctx context.Context) bool {
+	return ctx.Err() != nil && errors.Is(context.Cause(ctx), frontend.ErrClientLeft)
+}
+
 // metrics are the figures of this node.
 func (d *Daemon) metrics() *metrics.Registry {
 	registry, departures := metrics.NewRegistry(), d.frontend.Departures()
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -36,6 +36,10 @@
 	interrupt          func()
 	cancelInterruption func() bool
 	interrupted        bool
+	// peek is look, bound once; quiet and peeked are its result and what it has read.
+	peek   func(fd uintptr) (done bool)
+	quiet  bool
+	peeked [1]byte
 }
 
 // isQuiet tells that no bytes have arrived and the backend has not closed the connection. It looks at
@@ -44,13 +48,16 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	err := c.raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = recvErr == syscall.EAGAIN || recvErr == syscall.EWOULDBLOCK
-		return true
-	})
-	return quiet && err == nil
+	c.quiet = false
+	err := c.raw.Read(c.peek)
+	return c.quiet && err == nil
+}
+
+// look sets quiet by a look at the socket, and never has its caller wait.
+func (c *Conn) look(fd uintptr) (done bool) {
+	_, _, err := syscall.Recvfrom(int(fd), c.peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+	return true
 }
 
 // takeIdle takes the most recently used idle connection that is still usable, or nil. One that has
@@ -108,10 +115,10 @@
 		b.mu.Unlock()
 		return nil, err
 	}
-	interrupt := func() { _ = netConn.SetDeadline(longAgo) }
-	return &Conn{
-		netConn: netConn, raw: raw, reader: newLineReader(netConn), backend: b, fresh: true, interrupt: interrupt,
-	}, nil
+	conn = &Conn{netConn: netConn, raw: raw, reader: newLineReader(netConn), backend: b, fresh: true}
+	conn.interrupt = func() { _ = netConn.SetDeadline(longAgo) }
+	conn.peek = conn.look
+	return conn, nil
 }
 
 // closeConn closes a connection that is not in the pool.
--- a/internal/proxy/response_reader.go
+++ b/internal/proxy/response_reader.go
@@ -131,11 +131,22 @@
 	return interrupted
 }
 
+// getRequest is what responses to GET are read for; nobody changes it.
+var getRequest = &http.Request{Method: http.MethodGet}
+
+// requestOf is a request as http.ReadResponse wants it: only the method counts.
+func requestOf(method string) *http.Request {
+	if method == http.MethodGet {
+		return getRequest
+	}
+	return &http.Request{Method: method}
+}
+
 // readResponse reads interim responses and responses to other requests up to the one to this request,
 // and releases the connection.
 func (r *responseReader) readResponse() Attempt {
 	for {
-		response, err := http.ReadResponse(r.conn.reader, &http.Request{Method: r.request.Method})
+		response, err := http.ReadResponse(r.conn.reader, requestOf(r.request.Method))
 		if err != nil {
 			return r.readFailed(err)
 		}
@@ -214,16 +225,20 @@
 		return Attempt{Outcome: outcome, Response: result}
 	}
 	result.BodyRest, result.ContentLength, result.Chunked = rest, response.ContentLength, response.ContentLength < 0
-	result.Finish = func(complete bool) {
-		if r.releaseConn(response, keepAlive, complete) && !complete {
-			outcome = Abandoned
-		}
-		now := r.clock.Now()
-		backend.attemptEnded(now, now-r.startedAt, outcome)
-	}
+	stream := *r // so that only the reader of a stream is kept
+	result.Finish = func(complete bool) { stream.finish(response, keepAlive, complete, outcome) }
 	return Attempt{Outcome: outcome, Response: result}
 }
 
+// finish ends an attempt whose response was passed on as it came.
+func (r *responseReader) finish(response *http.Response, keepAlive time.Duration, complete bool, outcome Outcome) {
+	if r.releaseConn(response, keepAlive, complete) && !complete {
+		outcome = Abandoned
+	}
+	now := r.clock.Now()
+	r.conn.backend.attemptEnded(now, now-r.startedAt, outcome)
+}
+
 // observeHeaders records what a backend reports of itself in the headers of a response.
 func (r *responseReader) observeHeaders(header http.Header) {
 	backend := r.conn.backend
