Figures of both roles on a port of their own; a taken port is event 136

Change: metrics_address is port 9464 of the machine for proxies and controllers, named in deploy/system.toml; a test holds template and deploy file together. Controllers have figures too; a port that is taken is logged and the daemon works on.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -36,6 +36,8 @@
 
 	internalListener *rpc.Server
 	apiServer        *http.Server
+	// metricsServer is nil where no figures are served.
+	metricsServer *http.Server
 }
 
 // Start opens the disk and the listeners and begins to work.
@@ -58,6 +60,7 @@
 	if err = c.listen(); err != nil {
 		return nil, err
 	}
+	c.serveMetrics()
 	raftNode.Run()
 	return c, nil
 }
@@ -122,6 +125,9 @@
 func (c *Controller) Stop() {
 	c.node.Close()
 	_ = c.apiServer.Close()
+	if c.metricsServer != nil {
+		_ = c.metricsServer.Close()
+	}
 	c.internalListener.Close()
 	c.replaceCoordinator(nil)
 }
--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -16,6 +16,7 @@
 	"tinpin/internal/drain"
 	"tinpin/internal/eventlog"
 	"tinpin/internal/loadtest"
+	"tinpin/internal/metrics"
 	"tinpin/internal/retry"
 	"tinpin/internal/rpc"
 	"tinpin/internal/schedule"
@@ -66,6 +67,21 @@
 	}
 }
 
+// The platform fetches the figures of a role where the template has it serve them.
+func TestFiguresAreServedWhereTheDeployFileNamesThem(t *testing.T) {
+	template := page(t, "deploy/settings.tmpl")
+	port := regexp.MustCompile(`"metrics_address": "\{\{ip_address\}\}:(\d+)"`).FindStringSubmatch(template)
+	if port == nil {
+		t.Fatal("the template names no metrics_address")
+	}
+	deploy := page(t, "deploy/system.toml")
+	roles := strings.Count(deploy, "\n[roles.")
+	named := strings.Count(deploy, "\nmetrics = \""+port[1]+metrics.Path+"\"\n")
+	if roles == 0 || roles != named {
+		t.Errorf("%d of %d roles name port %s and path %s", named, roles, port[1], metrics.Path)
+	}
+}
+
 func TestConfigurationExamples(t *testing.T) {
 	text := page(t, "docs/configuration.md")
 	items := config.New()
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -51,6 +51,7 @@
 	OperatorRequestRejected
 	DiskFull
 	ClientsLeft
+	MetricsNotServed
 )
 
 // Entry is the fixed part of an event's log line.
@@ -102,6 +103,7 @@
 	OperatorRequestRejected: {"operator request rejected", info},
 	DiskFull:                {"disk full, writes paused or resumed", warn},
 	ClientsLeft:             {"clients left with requests unanswered", info},
+	MetricsNotServed:        {"figures not served", warn},
 }
 
 // Logger writes numbered events.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,19 +30,21 @@
 
 // Node is one controller's part of the group.
 type Node struct {
-	settings     settings.Settings
-	log          *eventlog.Logger
-	self         raft.Member
-	raft         *raft.Replica
-	store        *storage.Store
-	startedAt    time.Time
-	inbox        chan []raft.Message
-	proposals    chan proposal
-	syncedWrites chan int
-	writes       chan []raft.Write
-	calls        chan func()
-	stop         chan struct{}
-	goroutines   sync.WaitGroup
+	settings  settings.Settings
+	log       *eventlog.Logger
+	self      raft.Member
+	raft      *raft.Replica
+	store     *storage.Store
+	startedAt time.Time
+	inbox     chan []raft.Message
+	proposals chan proposal
+	// droppedProposals counts those that nobody waited for any more.
+	droppedProposals atomic.Int64
+	syncedWrites     chan int
+	writes           chan []raft.Write
+	calls            chan func()
+	stop             chan struct{}
+	goroutines       sync.WaitGroup
 
 	lease           atomic.Pointer[lease]
 	mu              sync.RWMutex
--- a/internal/node/proposals.go
+++ b/internal/node/proposals.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"tinpin/internal/raft"
@@ -79,6 +80,10 @@
 	return answers
 }
 
+// DroppedProposals counts proposals that were not put into the log because their callers had left or
+// given up.
+func (n *Node) DroppedProposals() *atomic.Int64 { return &n.droppedProposals }
+
 // collect adds the outcomes from one on that are there by now.
 func collect(answers []Outcome, done []chan Outcome, from int) []Outcome {
 	for i := from; i < len(done); i++ {
@@ -99,6 +104,7 @@
 		// A proposal whose caller must have given up is rejected, not appended:
 		// a backlog would otherwise be worked off for nobody.
 		if next.expired(now) {
+			n.droppedProposals.Add(1)
 			next.done <- Outcome{Rejected: true}
 		} else {
 			batch = append(batch, next)
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -77,13 +77,7 @@
 		}
 		d.httpServers = append(d.httpServers, server)
 	}
-	if p.MetricsAddress != "" {
-		server, serveErr := httpapi.ServeHandler(p.MetricsAddress, d.metrics().Handler())
-		if serveErr != nil {
-			return nil, serveErr
-		}
-		d.httpServers = append(d.httpServers, server)
-	}
+	d.serveMetrics()
 	d.leader.OnUpdate = d.becomeReady
 	d.leader.Limits, d.leader.Loads = d.tenantLimits, d.concurrency.loads
 	go d.leader.RunHeartbeats()
