--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -62,15 +62,12 @@
 			backend.attemptEnded(now, now-startedAt, attempt.Outcome)
 		}
 	}()
-	conn := backend.takeIdle(startedAt, options.MaxIdle)
-	if conn == nil {
-		var err error
-		if conn, err = backend.dial(ctx, options.Deadline-startedAt); err != nil {
-			if ctx.Err() != nil {
-				return Attempt{Outcome: SendCancelled}
-			}
-			return Attempt{Outcome: NotSent}
-		}
+	conn, err := backend.take(ctx, startedAt, options)
+	if err != nil && ctx.Err() != nil {
+		return Attempt{Outcome: SendCancelled}
+	}
+	if err != nil {
+		return Attempt{Outcome: NotSent}
 	}
 	now := clock.Now()
 	if now >= options.Deadline {
@@ -111,6 +108,14 @@
 	return attempt
 }
 
+// take gives an idle connection or a new one.
+func (b *Backend) take(ctx context.Context, now time.Duration, options AttemptOptions) (conn *Conn, err error) {
+	if conn = b.takeIdle(now, options.MaxIdle); conn != nil {
+		return conn, nil
+	}
+	return b.dial(ctx, options.Deadline-now)
+}
+
 // writeFailure is the attempt whose request could not be written as a whole. Where the kernel has
 // taken nothing, nothing has left.
 func writeFailure(sent int, interrupted bool) Attempt {
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -216,7 +216,8 @@
 			t.Errorf("%s: %+v", name, attempt)
 		}
 	}
-	if response := d.Handle(t.Context(), newRequest("GET", "/once/q", "b"), "800"); response.Status != 200 || backend.count() != 1 {
+	if response := d.Handle(t.Context(), newRequest("GET", "/once/q", "b"), "800"); response.Status != 200 ||
+		backend.count() != 1 {
 		t.Fatalf("status %d after %d arrivals", response.Status, backend.count())
 	}
 }
@@ -236,7 +237,8 @@
 				{Kind: rpc.WarmupRate, Key: "i-1", Amount: 3, Duration: duration},
 			}})
 			plan := &Plan{Route: route, Service: "s", Deadline: now + time.Second, BoundBackend: bound}
-			attempt := runAttempt(t.Context(), d.clock, target, newRequest("POST", "/once/x", "a"), d.attemptOptions(plan, now))
+			request, options := newRequest("POST", "/once/x", "a"), d.attemptOptions(plan, now)
+			attempt := runAttempt(t.Context(), d.clock, target, request, options)
 			if attempt.Outcome != outcome {
 				t.Errorf("bound to %q, a lease for %v: %+v", bound, duration, attempt)
 			}
@@ -253,7 +255,8 @@
 	d := newTestDaemon(t, backend)
 	d.settings.Bounds.KeyWindow = time.Nanosecond
 	connectToLeader(t, d, &fakeCoordinator{script: grantClaim})
-	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "2500"); response.Status != 503 || backend.count() != 0 {
+	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "2500"); response.Status != 503 ||
+		backend.count() != 0 {
 		t.Fatalf("status %d after %d runs", response.Status, backend.count())
 	}
 	if d.operations.Find("k", "a").State != rpc.OperationReleased {
@@ -261,10 +264,12 @@
 	}
 	// The same request must not run under the claim that is being released.
 	d.settings.Bounds.KeyWindow = time.Minute
-	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "2500"); response.Status != 503 || backend.count() != 0 {
+	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "2500"); response.Status != 503 ||
+		backend.count() != 0 {
 		t.Fatalf("status %d after %d runs", response.Status, backend.count())
 	}
-	if response := d.Handle(t.Context(), newKeyedRequest("b", "k"), "2500"); response.Status != 200 || backend.count() != 1 {
+	if response := d.Handle(t.Context(), newKeyedRequest("b", "k"), "2500"); response.Status != 200 ||
+		backend.count() != 1 {
 		t.Fatalf("status %d after %d runs", response.Status, backend.count())
 	}
 }
@@ -293,7 +298,8 @@
 			Route: view.Find("a.example", "/once/x"), Service: "s", Request: newRequest("POST", "/once/x", "a"),
 			Deadline: d.clock.Now() + 2*time.Second, AttemptsLeft: 3, BoundBackend: "i-1",
 		}
-		if _, kind := d.runAttempts(t.Context(), plan, d.concurrency.forService("s")); kind != 0 || backend.count() != want {
+		_, kind := d.runAttempts(t.Context(), plan, d.concurrency.forService("s"))
+		if kind != 0 || backend.count() != want {
 			t.Errorf("disabled checks %d: kind %d after %d arrivals, want %d", disabled, kind, backend.count(), want)
 		}
 	}
--- a/internal/proxy/backend.go
+++ b/internal/proxy/backend.go
@@ -192,8 +192,8 @@
 	return b.failureScore * math.Exp2(-float64(now-b.failureScoreAt)/float64(failureHalfLife))
 }
 
-// overdue tells that the backend has had requests in flight, or abandoned ones lately, for longer than its usual latency and
-// minOverdue without any response; it may be unreachable. defaultLatency, in milliseconds, stands for
+// overdue tells that the backend has had requests in flight, or abandoned ones lately, for longer than its
+// usual latency and minOverdue without any response; it may be unreachable. defaultLatency, in milliseconds, stands for
 // the latency of a backend that has never responded. The caller holds the lock.
 func (b *Backend) overdue(now time.Duration, defaultLatency float64) bool {
 	if b.inFlight == 0 && now >= b.suspectUntil {
--- a/internal/proxy/batcher.go
+++ b/internal/proxy/batcher.go
@@ -27,8 +27,13 @@
 
 // NewBatcher queues so many requests and has so many calls in flight, each with at most
 // maxBatch requests.
-func NewBatcher[A, R any](queued, calls, maxBatch int, send func(asks []A, left time.Duration) []R) (batcher *Batcher[A, R]) {
-	return &Batcher[A, R]{queue: make(chan pendingRequest[A, R], queued), slots: make(chan struct{}, calls), maxBatch: maxBatch, send: send}
+func NewBatcher[A, R any](
+	queued, calls, maxBatch int, send func(asks []A, left time.Duration) []R,
+) (batcher *Batcher[A, R]) {
+	return &Batcher[A, R]{
+		queue: make(chan pendingRequest[A, R], queued), slots: make(chan struct{}, calls), maxBatch: maxBatch,
+		send: send,
+	}
 }
 
 // Run sends batches until done is closed.
--- a/internal/proxy/batcher_test.go
+++ b/internal/proxy/batcher_test.go
@@ -18,7 +18,9 @@
 		})
 		batch := make([]pendingRequest[int, rpc.ClaimResult], 2)
 		for i := range batch {
-			batch[i] = pendingRequest[int, rpc.ClaimResult]{t.Context(), i, time.Now().Add(time.Hour), make(chan rpc.ClaimResult, 1)}
+			batch[i] = pendingRequest[int, rpc.ClaimResult]{
+				t.Context(), i, time.Now().Add(time.Hour), make(chan rpc.ClaimResult, 1),
+			}
 		}
 		batcher.slots <- struct{}{}
 		batcher.sendBatch(batch)
--- a/internal/proxy/claims.go
+++ b/internal/proxy/claims.go
@@ -102,7 +102,9 @@
 // sendClaims sends one batch. Claims that no leader has received are rejected, the
 // outcome of the others is unknown.
 func (l *LeaderClient) sendClaims(claims []rpc.KeyClaim, left time.Duration) (results []rpc.ClaimResult) {
-	request := rpc.ClaimRequest{Holder: rpc.NodeID(l.settings.Name), Incarnation: l.incarnation, Claims: claims, TimeLeft: left}
+	request := rpc.ClaimRequest{
+		Holder: rpc.NodeID(l.settings.Name), Incarnation: l.incarnation, Claims: claims, TimeLeft: left,
+	}
 	var response rpc.ClaimResponse
 	err := l.controllerClient(*l.leader.Load()).Call(rpc.MethodClaim, request, &response, 2*claimCallTimeout)
 	if err == nil && response.IsLeader {
@@ -120,7 +122,9 @@
 // sendBinds sends one batch of questions for bindings; nil where there is no answer.
 func (l *LeaderClient) sendBinds(binds []rpc.SessionBinding, _ time.Duration) (results []rpc.BindResult) {
 	var response rpc.BindResponse
-	if err := l.controllerClient(*l.leader.Load()).Call(rpc.MethodBind, rpc.BindRequest{Bindings: binds}, &response, 2*claimCallTimeout); err != nil {
+	request := rpc.BindRequest{Bindings: binds}
+	err := l.controllerClient(*l.leader.Load()).Call(rpc.MethodBind, request, &response, 2*claimCallTimeout)
+	if err != nil {
 		return nil
 	}
 	if response.Term > 0 && response.Term < l.state.Known().Term {
--- a/internal/proxy/cluster_state.go
+++ b/internal/proxy/cluster_state.go
@@ -209,7 +209,9 @@
 	s.assignment.SetHasLeader(now, hasLeader)
 	applied, headless := s.assignment.Tick(now)
 	if applied {
-		s.log.Emit(eventlog.ShardMapChanged, eventlog.KeyVersion, uint64(s.assignment.AppliedMap().Revision), eventlog.KeyMembers, len(s.assignment.AppliedMap().Members))
+		applied := s.assignment.AppliedMap()
+		s.log.Emit(eventlog.ShardMapChanged,
+			eventlog.KeyVersion, uint64(applied.Revision), eventlog.KeyMembers, len(applied.Members))
 	}
 	if headless {
 		s.log.Emit(eventlog.NoLeader)
@@ -275,7 +277,8 @@
 	if kind == history.Backend {
 		return backend.Endpoint.Summary(), 0, true
 	}
-	return rpc.EndpointState{Health: backend.health, WarmupRemaining: max(0, backend.warmUpUntil-s.clock.Now())}.Summary(), 0, true
+	warmUp := max(0, backend.warmUpUntil-s.clock.Now())
+	return rpc.EndpointState{Health: backend.health, WarmupRemaining: warmUp}.Summary(), 0, true
 }
 
 // appliedShards is the shard map in use.
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -20,6 +20,22 @@
 	"tinpin/internal/settings"
 )
 
+const (
+	// recallPause lies between two questions to the holder of a key that it has given back.
+	recallPause = 60 * time.Millisecond
+	// bodyMemoryDivisor gives the part of the memory that request bodies may take.
+	bodyMemoryDivisor = 4
+	// reservedDescriptors are not for connections; of the rest clients get two thirds, at least
+	// minClientConns.
+	reservedDescriptors = 300
+	minClientConns      = 64
+)
+
+// maxClientConns is how many client connections may be open.
+func maxClientConns(p settings.Settings) int {
+	return max(minClientConns, (p.MaxFileDescriptors-reservedDescriptors)*2/3)
+}
+
 // Daemon is a running node.
 type Daemon struct {
 	settings       settings.Settings
@@ -48,11 +64,15 @@
 func Start(p settings.Settings, log *eventlog.Logger) (daemon *Daemon, err error) {
 	var random [8]byte
 	_, _ = rand.Read(random[:])
-	d := &Daemon{settings: p, log: log, clock: NewClock(), incarnation: rpc.Incarnation(binary.LittleEndian.Uint64(random[:])), recallPause: 60 * time.Millisecond}
+	d := &Daemon{
+		settings: p, log: log, clock: NewClock(),
+		incarnation: rpc.Incarnation(binary.LittleEndian.Uint64(random[:])), recallPause: recallPause,
+	}
 	d.state = NewClusterState(p, log, d.clock)
 	d.operations = idempotency.NewStore(p.Bounds.KeyWindow+20*time.Second, p.MemoryMB<<20/6, d.clock.Now)
 	d.leader = NewLeaderClient(p, log, d.clock, d.state, d.incarnation, d.self)
-	d.retryBudget = NewRetryBudget(p.Bounds.RetryBudgetRatio, p.Bounds.RetryWindow, func() float64 { return d.state.Leased(rpc.RetrySlack, "") })
+	leasedSlack := func() float64 { return d.state.Leased(rpc.RetrySlack, "") }
+	d.retryBudget = NewRetryBudget(p.Bounds.RetryBudgetRatio, p.Bounds.RetryWindow, leasedSlack)
 	d.retryBudget.operatorLimit = d.state.Policies.Retries
 	d.retryBudget.operatorLimit.OnGateChange = func(service rpc.ServiceName, open bool) {
 		log.Emit(eventlog.RetriesSuppressed, eventlog.KeyService, string(service), "suppressed", !open)
@@ -60,12 +80,34 @@
 	d.tenantLimits = NewTenantLimits(d.state.Leased, func() { go d.leader.HeartbeatNow() })
 	d.bandwidth = NewBandwidthLimiter(d.clock, p.LinkMbps)
 	d.prober = NewProber(d)
-	d.frontend = frontend.New(d.Handle, func() *config.RoutingTable { return d.state.Snapshot().View }, max(64, (p.MaxFileDescriptors-300)*2/3), int64(p.MemoryMB)<<20/4)
-	if d.rpcListener, err = rpc.Serve(p.ProxyInternalAddress(), map[string]any{"Fellow": &PeerService{d}, "Status": &StatusService{d}}); err != nil {
+	view := func() *config.RoutingTable { return d.state.Snapshot().View }
+	d.frontend = frontend.New(d.Handle, view, maxClientConns(p), int64(p.MemoryMB)<<20/bodyMemoryDivisor)
+	if err = d.listen(); err != nil {
 		return nil, err
 	}
+	d.leader.OnUpdate = d.becomeReady
+	d.leader.Limits, d.leader.Loads = d.tenantLimits, d.concurrency.loads
+	go d.leader.RunHeartbeats()
+	go d.leader.RunClaims()
+	go d.leader.RunBinds()
+	go d.leader.RunReleases()
+	go d.leader.RunStandalone()
+	go d.prober.Run()
+	go d.reconcile()
+	go d.enforcePolicies()
+	return d, nil
+}
+
+// listen opens the listeners.
+func (d *Daemon) listen() (err error) {
+	p := d.settings
+	if d.rpcListener, err = rpc.Serve(p.ProxyInternalAddress(), map[string]any{
+		"Fellow": &PeerService{d}, "Status": &StatusService{d},
+	}); err != nil {
+		return err
+	}
 	if err = d.frontend.Listen(p.FrontendAddress); err != nil {
-		return nil, err
+		return err
 	}
 	for _, address := range []string{p.ReadinessAddress, p.DirectoryAddress} {
 		if address == "" {
@@ -73,22 +115,12 @@
 		}
 		server, serveErr := httpapi.Serve(address, httpapi.Handlers{Ready: d.isReady, Resolve: d.resolve})
 		if serveErr != nil {
-			return nil, serveErr
+			return serveErr
 		}
 		d.httpServers = append(d.httpServers, server)
 	}
 	d.serveMetrics()
-	d.leader.OnUpdate = d.becomeReady
-	d.leader.Limits, d.leader.Loads = d.tenantLimits, d.concurrency.loads
-	go d.leader.RunHeartbeats()
-	go d.leader.RunClaims()
-	go d.leader.RunBinds()
-	go d.leader.RunReleases()
-	go d.leader.RunStandalone()
-	go d.prober.Run()
-	go d.reconcile()
-	go d.enforcePolicies()
-	return d, nil
+	return nil
 }
 
 func (d *Daemon) isReady() bool {
@@ -98,8 +130,10 @@
 // self is what this node says about itself.
 func (d *Daemon) self() rpc.Node {
 	return rpc.Node{
-		ID: rpc.NodeID(d.settings.Name), Incarnation: d.incarnation, Zone: rpc.ZoneName(d.settings.Zone), Region: rpc.RegionName(d.settings.Region),
-		FrontendAddress: d.settings.FrontendAddress, InternalAddress: d.settings.ProxyInternalAddress(), Ready: d.ready.Load(), Stopping: d.stopping.Load(),
+		ID: rpc.NodeID(d.settings.Name), Incarnation: d.incarnation,
+		Zone: rpc.ZoneName(d.settings.Zone), Region: rpc.RegionName(d.settings.Region),
+		FrontendAddress: d.settings.FrontendAddress, InternalAddress: d.settings.ProxyInternalAddress(),
+		Ready: d.ready.Load(), Stopping: d.stopping.Load(),
 	}
 }
 
@@ -127,7 +161,8 @@
 	if d.ready.Load() {
 		return
 	}
-	if snapshot := d.state.Snapshot(); snapshot.Configured && snapshot.ListComplete && d.ready.CompareAndSwap(false, true) {
+	if snapshot := d.state.Snapshot(); snapshot.Configured && snapshot.ListComplete &&
+		d.ready.CompareAndSwap(false, true) {
 		go d.leader.HeartbeatNow()
 	}
 }
@@ -153,7 +188,7 @@
 		}
 	}
 	d.frontend.CloseListener()
-	for spent := time.Duration(0); d.frontend.InFlight() > 0 && d.clock.Now()-begun < grace-150*time.Millisecond; spent++ {
+	for d.frontend.InFlight() > 0 && d.clock.Now()-begun < grace-150*time.Millisecond {
 		time.Sleep(10 * time.Millisecond)
 	}
 	for _, server := range d.httpServers {
@@ -213,10 +248,13 @@
 }
 
 // resolve tells a client where to go.
-func (d *Daemon) resolve(ctx context.Context, host, region, zone string) (addresses []string, ttl time.Duration, err error) {
+func (d *Daemon) resolve(
+	ctx context.Context, host, region, zone string,
+) (addresses []string, ttl time.Duration, err error) {
 	snapshot := d.state.Snapshot()
 	addresses = directory.Answer(directory.Query{
-		Nodes: snapshot.Nodes, Absent: d.state.AbsentNodes(), AllowedRegions: snapshot.View.HomeRegions(host), Weights: d.planWeights(snapshot, host),
+		Nodes: snapshot.Nodes, Absent: d.state.AbsentNodes(),
+		AllowedRegions: snapshot.View.HomeRegions(host), Weights: d.planWeights(snapshot, host),
 		Region: region, Zone: zone, Client: httpapi.CallerAddress(ctx),
 	})
 	if len(addresses) == 0 && d.isReady() {
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -87,14 +87,11 @@
 		if now >= plan.Deadline {
 			return response, plan.errorKind(apierror.DeadlineTooShort)
 		}
-		backend, anyUsable := d.state.chooseEndpoint(d.state.Snapshot(), d.criteria(plan, plan.Attempted))
+		backend, kind := d.nextBackend(plan)
+		if kind != apierror.None {
+			return response, plan.errorKind(kind)
+		}
 		if backend == nil {
-			if !anyUsable {
-				return response, plan.errorKind(apierror.NoBackend)
-			}
-			if !d.mayWaitForCapacity(plan) {
-				return response, plan.errorKind(apierror.Overloaded)
-			}
 			_ = pause(ctx, capacityPollInterval)
 			continue
 		}
@@ -125,6 +122,21 @@
 	}
 }
 
+// nextBackend chooses the backend for a plan's next attempt. Where all are full and the request may wait,
+// there is none and no error.
+func (d *Daemon) nextBackend(plan *Plan) (backend *Backend, kind apierror.Kind) {
+	backend, anyUsable := d.state.chooseEndpoint(d.state.Snapshot(), d.criteria(plan, plan.Attempted))
+	switch {
+	case backend != nil:
+		return backend, apierror.None
+	case !anyUsable:
+		return nil, apierror.NoBackend
+	case !d.mayWaitForCapacity(plan):
+		return nil, apierror.Overloaded
+	}
+	return nil, apierror.None
+}
+
 // observe records what became of an attempt that began at a time with the retry limit and the
 // service's concurrency limit.
 func (d *Daemon) observe(plan *Plan, limiter *ConcurrencyLimiter, startedAt time.Duration, attempt *Attempt) {
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -30,7 +30,7 @@
 	}
 	operation, earlier := d.operations.Begin(plan.Key, request.ID)
 	if earlier != nil {
-		return d.replay(d.leader.Fetch(earlier.Response(), plan.Key, earlier.Request()), request.ID)
+		return d.replay(d.leader.Fetch(ctx, earlier.Response(), plan.Key, earlier.Request()), request.ID)
 	}
 	if response, granted := d.claim(ctx, plan, operation); !granted {
 		return response
@@ -58,14 +58,15 @@
 		claimedAt := d.clock.Now()
 		// A new leader may be there in a moment; the wait for one stays inside the time in which a
 		// rejection still lets the client retry in time.
-		claim := d.leader.Claim(ctx, rpc.KeyClaim{Key: plan.Key, Request: request.ID}, plan.Route.LatencyTarget/4, limit)
+		asked := rpc.KeyClaim{Key: plan.Key, Request: request.ID}
+		claim := d.leader.Claim(ctx, asked, plan.Route.LatencyTarget/4, limit)
 		switch claim.Outcome {
 		case rpc.ClaimGranted:
 			// The claim is valid for its window from when it was requested.
 			plan.Deadline = min(plan.Deadline, claimedAt+d.settings.Bounds.KeyWindow)
 			return response, true
 		case rpc.ClaimHeld:
-			reply := d.recallFromHolder(plan.Key, claim)
+			reply := d.recallFromHolder(ctx, plan.Key, claim)
 			released := reply.State == rpc.OperationReleased
 			if released && retries < maxClaimRetries && d.clock.Now()+limit/2 < plan.Deadline {
 				if pause(ctx, d.recallPause) {
@@ -85,9 +86,11 @@
 }
 
 // recallFromHolder asks the holder of a key, which may be this node, for the state of the operation.
-func (d *Daemon) recallFromHolder(key string, claim rpc.ClaimResult) (reply rpc.StoredResponse) {
+func (d *Daemon) recallFromHolder(
+	ctx context.Context, key string, claim rpc.ClaimResult,
+) (reply rpc.StoredResponse) {
 	if claim.Holder != rpc.NodeID(d.settings.Name) {
-		return d.leader.Recall(claim, key)
+		return d.leader.Recall(ctx, claim, key)
 	}
 	if claim.Incarnation == d.incarnation && d.operations.Released(key, claim.Request) {
 		reply.State = rpc.OperationReleased
--- a/internal/proxy/keyed_test.go
+++ b/internal/proxy/keyed_test.go
@@ -180,7 +180,8 @@
 		return rpc.ClaimResult{Outcome: rpc.ClaimUnknown}
 	}}
 	connectToLeader(t, d, coordinator)
-	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "300"); response.Status != 503 || backend.count() != 0 {
+	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "300"); response.Status != 503 ||
+		backend.count() != 0 {
 		t.Fatalf("status %d after %d runs", response.Status, backend.count())
 	}
 	if d.operations.Find("k", "a").State != rpc.OperationReleased {
@@ -266,7 +267,8 @@
 		return rpc.ClaimResult{Outcome: rpc.ClaimHeld, Holder: "edge-1", Incarnation: d.incarnation + 1, Request: "z"}
 	}}
 	connectToLeader(t, d, coordinator)
-	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "800"); response.Status != 503 || backend.count() != 0 {
+	if response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "800"); response.Status != 503 ||
+		backend.count() != 0 {
 		t.Fatalf("status %d after %d runs", response.Status, backend.count())
 	}
 	for _, end := range []func(operation *idempotency.HeldOperation){
--- a/internal/proxy/leader_client.go
+++ b/internal/proxy/leader_client.go
@@ -61,7 +61,10 @@
 }
 
 // NewLeaderClient has not found a leader yet; self tells what this node is now.
-func NewLeaderClient(settings settings.Settings, log *eventlog.Logger, clock Clock, state *ClusterState, incarnation rpc.Incarnation, self func() rpc.Node) (client *LeaderClient) {
+func NewLeaderClient(
+	settings settings.Settings, log *eventlog.Logger, clock Clock, state *ClusterState, incarnation rpc.Incarnation,
+	self func() rpc.Node,
+) (client *LeaderClient) {
 	client = &LeaderClient{
 		settings: settings, log: log, clock: clock, state: state, incarnation: incarnation, self: self,
 		wakeReleases: make(chan struct{}, 1),
@@ -157,7 +160,9 @@
 }
 
 // heartbeatRequest says what this node knows, what it demands and what it has seen.
-func (l *LeaderClient) heartbeatRequest(now, maxWait time.Duration, tenants []*config.Tenant) (request rpc.HeartbeatRequest) {
+func (l *LeaderClient) heartbeatRequest(
+	now, maxWait time.Duration, tenants []*config.Tenant,
+) (request rpc.HeartbeatRequest) {
 	request = rpc.HeartbeatRequest{Node: l.self(), KnownState: l.state.Known(), MaxWait: maxWait}
 	if l.Limits != nil {
 		request.TenantDemands = l.Limits.Demands(tenants)
--- a/internal/proxy/metrics_test.go
+++ b/internal/proxy/metrics_test.go
@@ -22,7 +22,8 @@
 		if Outcome(outcome) == Complete {
 			count = "1"
 		}
-		if line := `tinpin_attempts_total{outcome="` + Outcome(outcome).String() + `"} ` + count + "\n"; !strings.Contains(text, line) {
+		line := `tinpin_attempts_total{outcome="` + Outcome(outcome).String() + `"} ` + count + "\n"
+		if !strings.Contains(text, line) {
 			t.Errorf("no line %q", line)
 		}
 	}
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"tinpin/internal/rpc"
@@ -13,23 +14,32 @@
 )
 
 // Recall asks the holder of a key for the operation's state or response.
-func (l *LeaderClient) Recall(claim rpc.ClaimResult, key string) (response rpc.StoredResponse) {
+func (l *LeaderClient) Recall(
+	ctx context.Context, claim rpc.ClaimResult, key string,
+) (response rpc.StoredResponse) {
 	if claim.InternalAddress == "" {
 		return response
 	}
 	request := rpc.StoredResponseRequest{Key: key, Request: claim.Request, Incarnation: claim.Incarnation}
-	if err := l.peerClient(claim.InternalAddress).Call(rpc.MethodStoredResponse, request, &response, recallTimeout); err != nil {
+	err := l.peerClient(claim.InternalAddress).CallContext(
+		ctx, rpc.MethodStoredResponse, request, &response, recallTimeout)
+	if err != nil {
 		return rpc.StoredResponse{State: rpc.OperationLost}
 	}
-	return l.Fetch(response, key, claim.Request)
+	return l.Fetch(ctx, response, key, claim.Request)
 }
 
 // Fetch gets a response that was moved from the node that stores it.
-func (l *LeaderClient) Fetch(response rpc.StoredResponse, key, requestID string) (fetched rpc.StoredResponse) {
+func (l *LeaderClient) Fetch(
+	ctx context.Context, response rpc.StoredResponse, key, requestID string,
+) (fetched rpc.StoredResponse) {
 	if response.State != rpc.OperationMoved {
 		return response
 	}
-	if err := l.peerClient(response.InternalAddress).Call(rpc.MethodMovedResponse, rpc.StoredResponseRequest{Key: key, Request: requestID}, &fetched, recallTimeout); err != nil {
+	request := rpc.StoredResponseRequest{Key: key, Request: requestID}
+	err := l.peerClient(response.InternalAddress).CallContext(
+		ctx, rpc.MethodMovedResponse, request, &fetched, recallTimeout)
+	if err != nil {
 		return rpc.StoredResponse{State: rpc.OperationLost}
 	}
 	return fetched
--- a/internal/proxy/plan.go
+++ b/internal/proxy/plan.go
@@ -67,13 +67,19 @@
 	if outcomeTable[attempt.Outcome].execution != notExecutedProven {
 		p.MayHaveRun = true
 	}
-	switch attempt.Outcome {
-	case ServerError:
+	if attempt.Outcome == ServerError {
 		// The server error is the response, unless another attempt is allowed.
 		if !p.Route.Type.Retryable() || p.AttemptsLeft <= 0 || now >= p.Deadline {
 			return StepRespond, apierror.None
 		}
 		return StepRetry, apierror.None
+	}
+	return p.nextAfterFailure(now, attempt.Outcome)
+}
+
+// nextAfterFailure decides what comes after an attempt without a response.
+func (p *Plan) nextAfterFailure(now time.Duration, outcome Outcome) (step Step, kind apierror.Kind) {
+	switch outcome {
 	case TimedOut:
 		return StepFail, apierror.DeadlineExceeded
 	case Abandoned:
--- a/internal/proxy/policies.go
+++ b/internal/proxy/policies.go
@@ -64,7 +64,8 @@
 // NewPolicies has no policy and no retirement yet.
 func NewPolicies(now time.Duration) (policies *Policies) {
 	policies = &Policies{
-		drainPermit: drain.NewPermit(now), retirements: map[rpc.EndpointID]rpc.Retirement{}, documents: map[policy.Kind]policy.Document{},
+		drainPermit: drain.NewPermit(now),
+		retirements: map[rpc.EndpointID]rpc.Retirement{}, documents: map[policy.Kind]policy.Document{},
 		recentNodes: map[rpc.NodeID]metNode{}, Sessions: NewSessions(),
 	}
 	policies.planWeights.Store(&PlanWeights{})
@@ -74,7 +75,9 @@
 
 // apply applies the parts of an update that concern policies; the update was asked for
 // at requestedAt, from which on the leader counts as heard.
-func (o *Policies) apply(now, requestedAt time.Duration, update *rpc.Update, recorder *history.Recorder, unlogged bool) {
+func (o *Policies) apply(
+	now, requestedAt time.Duration, update *rpc.Update, recorder *history.Recorder, unlogged bool,
+) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.drainPermit.LeaderResponded(requestedAt)
@@ -132,7 +135,9 @@
 }
 
 // applyRetirements applies agreed retirements; the caller holds the lock.
-func (o *Policies) applyRetirements(now time.Duration, retirements []rpc.Retirement, recorder *history.Recorder, unlogged bool) {
+func (o *Policies) applyRetirements(
+	now time.Duration, retirements []rpc.Retirement, recorder *history.Recorder, unlogged bool,
+) {
 	for _, order := range retirements {
 		if order.Rev <= o.retirements[order.Server].Rev {
 			continue
@@ -179,7 +184,8 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.drainPermit.AllowsNew(now, backend) || o.drainPermit.MayFinish(now, backend, time.Duration(o.drainPolicy.RuleFor(service).Finish))
+	return o.drainPermit.AllowsNew(now, backend) ||
+		o.drainPermit.MayFinish(now, backend, time.Duration(o.drainPolicy.RuleFor(service).Finish))
 }
 
 // Isolated reports whether this node is isolated: no new request may be taken.
@@ -285,7 +291,8 @@
 		})
 		policies.mu.Unlock()
 		for _, retirement := range expired {
-			d.state.abortRequests(retirement.Server, drainPolicy.RuleFor(retirement.Service).KeyedRequests == drain.KeyedDeadline)
+			keepKeyed := drainPolicy.RuleFor(retirement.Service).KeyedRequests == drain.KeyedDeadline
+			d.state.abortRequests(retirement.Server, keepKeyed)
 		}
 		if drainPolicy == nil {
 			policies.isolated.Store(false)
@@ -325,7 +332,9 @@
 		go func() {
 			defer func() { <-slots; calls.Done() }()
 			var response rpc.RetirementsResponse
-			if err := d.leader.peerClient(address).Call(rpc.MethodRetirements, rpc.RetirementsRequest{From: rpc.NodeID(d.settings.Name)}, &response, peerCallTimeout); err != nil {
+			request := rpc.RetirementsRequest{From: rpc.NodeID(d.settings.Name)}
+			err := d.leader.peerClient(address).Call(rpc.MethodRetirements, request, &response, peerCallTimeout)
+			if err != nil {
 				return
 			}
 			answers.Add(1)
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -21,7 +21,8 @@
 		return ProbeDown, 0
 	}
 	_ = conn.netConn.SetDeadline(time.Now().Add(probeTimeout))
-	text := "GET " + path + " HTTP/1.1\r\nHost: " + backend.Address + "\r\n" + message.HeaderTargetInstance + ": " + string(backend.ID) + "\r\n\r\n"
+	text := "GET " + path + " HTTP/1.1\r\nHost: " + backend.Address + "\r\n" +
+		message.HeaderTargetInstance + ": " + string(backend.ID) + "\r\n\r\n"
 	if _, err = conn.netConn.Write([]byte(text)); err != nil {
 		backend.closeConn(conn)
 		return ProbeInvalid, 0
--- a/internal/proxy/prober.go
+++ b/internal/proxy/prober.go
@@ -59,7 +59,9 @@
 
 // NewProber has found nothing yet.
 func NewProber(d *Daemon) (prober *Prober) {
-	return &Prober{daemon: d, probed: map[rpc.EndpointID]*probedBackend{}, fullReportTerm: map[rpc.ServiceName]rpc.Term{}}
+	return &Prober{
+		daemon: d, probed: map[rpc.EndpointID]*probedBackend{}, fullReportTerm: map[rpc.ServiceName]rpc.Term{},
+	}
 }
 
 // Run probes until the node stops.
@@ -156,7 +158,10 @@
 	}
 	for service, states := range reports {
 		if d.leader.HasLeader() {
-			go d.leader.Report(rpc.HealthReport{Node: rpc.NodeID(d.settings.Name), Term: term, ShardMapRevision: revision, Service: service, States: states})
+			go d.leader.Report(rpc.HealthReport{
+				Node: rpc.NodeID(d.settings.Name), Term: term, ShardMapRevision: revision,
+				Service: service, States: states,
+			})
 		}
 	}
 }
@@ -189,7 +194,8 @@
 	schedule.suspectInterval = interval
 	if !ownOnly {
 		together := interval * time.Duration(max(1, nodes/probersPerBackend))
-		schedule.healthyInterval, schedule.suspectInterval = max(schedule.healthyInterval, together), max(schedule.suspectInterval, together)
+		schedule.healthyInterval = max(schedule.healthyInterval, together)
+		schedule.suspectInterval = max(schedule.suspectInterval, together)
 	}
 	schedule.maxPerTick = max(4, int(2*rate*interval.Seconds()/probePhases))
 	return schedule
@@ -252,12 +258,13 @@
 		return
 	}
 	backend.update(d.clock.Now(), nil, &state)
-	changed := before.Health != state.Health || (before.WarmupRemaining > 0) != (state.WarmupRemaining > 0) || state.WarmupRemaining > 0
+	changed := before.Health != state.Health || before.WarmupRemaining > 0 || state.WarmupRemaining > 0
 	if changed {
 		d.state.History.Record(history.Health, string(backend.ID), "probed", state.Summary(), 0, true)
 	}
 	if before.Health != state.Health && (before.Health != rpc.HealthUnknown || state.Health == rpc.Unhealthy) {
-		d.log.Emit(eventlog.EndpointHealthChanged, eventlog.KeyEndpoint, string(backend.ID), "health", int(state.Health))
+		d.log.Emit(eventlog.EndpointHealthChanged,
+			eventlog.KeyEndpoint, string(backend.ID), "health", int(state.Health))
 	}
 	if changed && d.leader.HasLeader() {
 		d.leader.Report(rpc.HealthReport{
@@ -306,7 +313,9 @@
 func (p *Prober) report(service rpc.ServiceName, backends []*Backend, term rpc.Term, revision rpc.Revision) {
 	d := p.daemon
 	leaderTerm := d.state.Known().Term
-	report := rpc.HealthReport{Node: rpc.NodeID(d.settings.Name), Term: term, ShardMapRevision: revision, Service: service}
+	report := rpc.HealthReport{
+		Node: rpc.NodeID(d.settings.Name), Term: term, ShardMapRevision: revision, Service: service,
+	}
 	p.mu.Lock()
 	report.Full = p.fullReportTerm[service] != leaderTerm
 	if report.Full {
--- a/internal/proxy/selection.go
+++ b/internal/proxy/selection.go
@@ -145,7 +145,8 @@
 	}
 	cost := observed.CostMS()
 	if observed.WarmingUp {
-		if float64(observed.WarmUpSends)+1 > c.state.Leased(rpc.WarmupRate, string(backend.ID)) || observed.InFlight > 0 {
+		leased := c.state.Leased(rpc.WarmupRate, string(backend.ID))
+		if float64(observed.WarmUpSends)+1 > leased || observed.InFlight > 0 {
 			return
 		}
 		cost = balancer.WarmUpCostMS(cost)
@@ -163,11 +164,13 @@
 
 // permitted reports whether a request may go to a backend at all.
 func (c *selection) permitted(backend *Backend) bool {
-	if c.snapshot.Evacuated[backend.Zone] || !config.AllowsRegion(c.criteria.Homes, string(backend.Region)) || c.criteria.wasAttempted(backend.ID) {
+	if c.snapshot.Evacuated[backend.Zone] || !config.AllowsRegion(c.criteria.Homes, string(backend.Region)) ||
+		c.criteria.wasAttempted(backend.ID) {
 		return false
 	}
 	policies := c.state.Policies
-	if policies.AcceptsNew(c.now, backend.ID) || c.criteria.Bound != "" && policies.KeepsSessions(c.now, backend.ID, c.criteria.Service) {
+	if policies.AcceptsNew(c.now, backend.ID) ||
+		c.criteria.Bound != "" && policies.KeepsSessions(c.now, backend.ID, c.criteria.Service) {
 		return true
 	}
 	c.anyUsable = true
@@ -225,7 +228,8 @@
 	}
 	observed.Overdue = b.overdue(now, baseline)
 	observed.RecentFailures = b.recentFailures(now)
-	observed.Unhealthy, observed.Ejected, observed.Unavailable = b.health == rpc.Unhealthy, b.ejected, now < b.unavailableUntil
+	observed.Unhealthy, observed.Ejected = b.health == rpc.Unhealthy, b.ejected
+	observed.Unavailable = now < b.unavailableUntil
 	observed.CanaryDue = now >= b.nextCanaryAt
 	if observed.WarmingUp = now < b.warmUpUntil; observed.WarmingUp {
 		observed.WarmUpSends = b.warmUpSends.Sum(now)
--- a/internal/proxy/sessions.go
+++ b/internal/proxy/sessions.go
@@ -70,13 +70,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &SessionsStatus{
-		Remembered: remembered, Dropped: dropped, Moved: moved, Named: s.findings[affinity.Named], Missing: s.findings[affinity.Missing], Repeated: s.findings[affinity.Conflicting],
-		Malformed: s.findings[affinity.Malformed], TooLong: s.findings[affinity.TooLong], Unkept: s.unkept, Refused: s.refused,
+		Remembered: remembered, Dropped: dropped, Moved: moved, Unkept: s.unkept, Refused: s.refused,
+		Named: s.findings[affinity.Named], Missing: s.findings[affinity.Missing],
+		Repeated: s.findings[affinity.Conflicting], Malformed: s.findings[affinity.Malformed],
+		TooLong: s.findings[affinity.TooLong],
 	}
 }
 
 // findSession names the session of a request at a service.
-func (s *Sessions) findSession(policy *affinity.Policy, service rpc.ServiceName, asked affinity.NameSources) (rule affinity.Rule, name string, named bool) {
+func (s *Sessions) findSession(
+	policy *affinity.Policy, service rpc.ServiceName, asked affinity.NameSources,
+) (rule affinity.Rule, name string, named bool) {
 	rule, ruled := policy.RuleFor(service)
 	if !ruled {
 		return rule, "", false
@@ -139,7 +143,7 @@
 	switch {
 	case outcome == affinity.Bound:
 		return apierror.None
-	case outcome == affinity.Unbound, outcome == affinity.NoAnswer && plan.Rule.WithoutLeader == affinity.WithoutLeaderServe && plan.Route.Type.Retryable():
+	case outcome == affinity.Unbound, outcome == affinity.NoAnswer && plan.servedWithoutLeader():
 		s.count(&s.unkept)
 		return apierror.None
 	}
@@ -150,6 +154,11 @@
 	return apierror.SessionUnavailable
 }
 
+// servedWithoutLeader tells that a request may go to any backend while nobody can say where its session is.
+func (p *Plan) servedWithoutLeader() bool {
+	return p.Rule.WithoutLeader == affinity.WithoutLeaderServe && p.Route.Type.Retryable()
+}
+
 func (s *Sessions) count(what *uint64) {
 	s.mu.Lock()
 	*what++
@@ -160,7 +169,14 @@
 // to, its site is evacuated, or it was retired and has had its time.
 func (d *Daemon) mustMove(snapshot *Snapshot, plan *Plan, id rpc.EndpointID) (moves bool) {
 	backend := snapshot.backend(plan.Service, id)
-	return backend == nil || backend.isDraining() || snapshot.Evacuated[backend.Zone] || !config.AllowsRegion(plan.Route.AllowedRegions, string(backend.Region)) || !d.state.Policies.KeepsSessions(d.clock.Now(), id, plan.Service)
+	return backend == nil || !snapshot.serves(plan, backend) ||
+		!d.state.Policies.KeepsSessions(d.clock.Now(), id, plan.Service)
+}
+
+// serves tells whether a backend that is listed serves a plan's route at all.
+func (s *Snapshot) serves(plan *Plan, backend *Backend) bool {
+	return !backend.isDraining() && !s.Evacuated[backend.Zone] &&
+		config.AllowsRegion(plan.Route.AllowedRegions, string(backend.Region))
 }
 
 // placeSession chooses where a new session begins: among the backends of the region
@@ -169,7 +185,7 @@
 	now := d.clock.Now()
 	var here, away, rest []affinity.Candidate
 	for _, backend := range snapshot.Services[plan.Service] {
-		if backend.isDraining() || snapshot.Evacuated[backend.Zone] || !config.AllowsRegion(plan.Route.AllowedRegions, string(backend.Region)) || !d.state.Policies.AcceptsNew(now, backend.ID) {
+		if !snapshot.serves(plan, backend) || !d.state.Policies.AcceptsNew(now, backend.ID) {
 			continue
 		}
 		candidate := affinity.Candidate{ID: backend.ID, Weight: backend.Slots}
--- a/internal/proxy/sessions_test.go
+++ b/internal/proxy/sessions_test.go
@@ -175,15 +175,18 @@
 	}
 	setDocument(d, 3, policy.SessionAffinity, `{"version":3,"rules":[
 		{"service":"s","from":"header","name":"X-Caller","idle":"1m","alone":"serve","most":100}]}`)
-	if response = d.Handle(t.Context(), newCallerRequest("GET", "/safe/x", "c", "anna"), "2500"); response.Status != 200 {
+	response = d.Handle(t.Context(), newCallerRequest("GET", "/safe/x", "c", "anna"), "2500")
+	if response.Status != 200 {
 		t.Fatalf("under \"serve\" an idempotent request gets %d", response.Status)
 	}
-	if response = d.Handle(t.Context(), newCallerRequest("POST", "/once/x", "d", "anna"), "2500"); response.Status != 503 {
+	response = d.Handle(t.Context(), newCallerRequest("POST", "/once/x", "d", "anna"), "2500")
+	if response.Status != 503 {
 		t.Fatalf("under \"serve\" one that is not idempotent gets %d", response.Status)
 	}
 	r := newCallerRequest("GET", "/safe/x", "e", "anna")
 	r.Headers = append(r.Headers, message.HeaderField{"X-Caller", "ben"})
-	if response = d.Handle(t.Context(), r, "2500"); response.Status != 200 || d.state.Policies.Sessions.Status().Repeated != 1 {
+	if response = d.Handle(t.Context(), r, "2500"); response.Status != 200 ||
+		d.state.Policies.Sessions.Status().Repeated != 1 {
 		t.Fatalf("a session header that occurs twice: %d, %+v", response.Status, d.state.Policies.Sessions.Status())
 	}
 }
--- a/internal/proxy/snapshot.go
+++ b/internal/proxy/snapshot.go
@@ -47,9 +47,11 @@
 func (s *ClusterState) publishSnapshot() {
 	s.configured = s.configured || s.known.LastItem == rpc.AfterAllItems && !s.config.Empty()
 	snapshot := &Snapshot{
-		View: s.view, Services: s.backendsByService(), Evacuated: map[rpc.ZoneName]bool{}, Nodes: map[rpc.NodeID]rpc.Node{},
-		Preferred: map[rpc.ServiceName][]*Backend{}, Others: map[rpc.ServiceName][]*Backend{}, NodesPerBackend: map[rpc.ServiceName]int{},
-		Configured: s.configured, ListComplete: s.listComplete, Revision: s.known.LogIndex,
+		View: s.view, Services: s.backendsByService(),
+		Evacuated: map[rpc.ZoneName]bool{}, Nodes: map[rpc.NodeID]rpc.Node{},
+		Preferred: map[rpc.ServiceName][]*Backend{}, Others: map[rpc.ServiceName][]*Backend{},
+		NodesPerBackend: map[rpc.ServiceName]int{},
+		Configured:      s.configured, ListComplete: s.listComplete, Revision: s.known.LogIndex,
 	}
 	for zone, evacuation := range s.evacuations {
 		if evacuation.Active {
@@ -81,7 +83,9 @@
 // splitBySubset parts the backends of each service into those of this node's subset
 // and the others.
 func (s *ClusterState) splitBySubset(snapshot *Snapshot) {
-	subset := balancer.NewSubset(rpc.NodeID(s.settings.Name), rpc.ZoneName(s.settings.Zone), s.nodes, s.settings.SubsetSize)
+	subset := balancer.NewSubset(
+		rpc.NodeID(s.settings.Name), rpc.ZoneName(s.settings.Zone), s.nodes, s.settings.SubsetSize,
+	)
 	for service, backends := range snapshot.Services {
 		inZone := 0
 		for _, backend := range backends {
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -35,8 +35,10 @@
 	d := s.daemon
 	seen := d.state.Known()
 	account := NodeStatus{
-		Role: "passage", Name: d.settings.Name, Ready: d.isReady(), HasLeader: d.leader.HasLeader(), Leader: *d.leader.leader.Load(),
-		Term: uint64(seen.Term), Epoch: uint64(seen.Revision), Revision: seen.LogIndex, Nodes: len(d.state.Snapshot().Nodes), InFlight: d.frontend.InFlight(),
+		Role: "passage", Name: d.settings.Name, Ready: d.isReady(),
+		HasLeader: d.leader.HasLeader(), Leader: *d.leader.leader.Load(),
+		Term: uint64(seen.Term), Epoch: uint64(seen.Revision), Revision: seen.LogIndex,
+		Nodes: len(d.state.Snapshot().Nodes), InFlight: d.frontend.InFlight(),
 	}
 	account.Sessions = d.state.Policies.Sessions.Status()
 	account.Retries = d.state.Policies.Retries.Status(d.clock.Now())
@@ -52,7 +54,10 @@
 	w := s.daemon.state
 	reply.Name = s.daemon.settings.Name
 	for _, change := range w.History.Changes(history.Subject{Kind: ask.Kind, Name: ask.Name}) {
-		reply.Entries = append(reply.Entries, rpc.TraceEntry{Event: change.Action, Summary: change.State, LogIndex: change.Revision, Age: change.Age})
+		reply.Entries = append(
+			reply.Entries,
+			rpc.TraceEntry{Event: change.Action, Summary: change.State, LogIndex: change.Revision, Age: change.Age},
+		)
 	}
 	reply.Summary, reply.LogIndex, reply.Present = w.StateOf(ask.Kind, ask.Name)
 	return nil
--- a/internal/proxy/stub_node.go
+++ b/internal/proxy/stub_node.go
@@ -34,7 +34,8 @@
 // self is what the node says about itself.
 func (n *StubNode) self() rpc.Node {
 	return rpc.Node{
-		ID: rpc.NodeID(n.settings.Name), Incarnation: n.incarnation, Zone: rpc.ZoneName(n.settings.Zone), Region: rpc.RegionName(n.settings.Region),
+		ID: rpc.NodeID(n.settings.Name), Incarnation: n.incarnation,
+		Zone: rpc.ZoneName(n.settings.Zone), Region: rpc.RegionName(n.settings.Region),
 		FrontendAddress: n.settings.Address + ":1", InternalAddress: n.settings.ProxyInternalAddress(), Ready: true,
 	}
 }
@@ -44,7 +45,9 @@
 
 // Claim claims one key.
 func (n *StubNode) Claim(key string) (granted bool) {
-	return n.leader.Claim(context.Background(), rpc.KeyClaim{Key: key, Request: key}, time.Second, time.Second).Outcome == rpc.ClaimGranted
+	return n.leader.Claim(
+		context.Background(), rpc.KeyClaim{Key: key, Request: key}, time.Second, time.Second,
+	).Outcome == rpc.ClaimGranted
 }
 
 // Report reports one backend's health as the owner of its service would.
--- a/internal/proxy/update.go
+++ b/internal/proxy/update.go
@@ -94,7 +94,8 @@
 	if chunk == nil || s.continuesList(update.Term, chunk) {
 		return
 	}
-	s.log.Emit(eventlog.NodeRequestRejected, eventlog.KeyCall, "update", eventlog.KeyReason, "a part of the list that does not follow",
+	s.log.Emit(eventlog.NodeRequestRejected,
+		eventlog.KeyCall, "update", eventlog.KeyReason, "a part of the list that does not follow",
 		eventlog.KeyFrom, string(chunk.After), "position", string(chunk.Last))
 	update.EndpointChunk = nil
 }
@@ -118,7 +119,9 @@
 			continue
 		}
 		s.evacuations[evacuation.Zone] = evacuation
-		s.History.Record(history.Evacuation, string(evacuation.Zone), "applied", evacuation.Summary(), evacuation.LogIndex, unlogged)
+		s.History.Record(
+			history.Evacuation, string(evacuation.Zone), "applied", evacuation.Summary(), evacuation.LogIndex, unlogged,
+		)
 		reopened[evacuation.Zone] = old.Active && !evacuation.Active
 	}
 	return reopened
@@ -174,7 +177,8 @@
 		if backend == nil || state.Removed {
 			continue
 		}
-		s.History.Record(history.Health, string(state.Endpoint), "heard", state.Summary(), uint64(update.Revision), true)
+		revision := uint64(update.Revision)
+		s.History.Record(history.Health, string(state.Endpoint), "heard", state.Summary(), revision, true)
 		backend.update(now, nil, &state)
 	}
 }
@@ -193,7 +197,8 @@
 // applyShardMap applies a new shard map, or the difference to the one that is known.
 func (s *ClusterState) applyShardMap(now time.Duration, update *rpc.Update) {
 	known := s.known.ShardMapRevision
-	if delta := update.ShardMapDelta; delta != nil && known > 0 && delta.BaseRevision <= known && delta.Revision > known {
+	delta := update.ShardMapDelta
+	if delta != nil && known > 0 && delta.BaseRevision <= known && delta.Revision > known {
 		next := s.leaderMap.Apply(*delta)
 		update.ShardMap = &next
 	}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/rpc"
@@ -98,10 +99,17 @@
 	}
 }
 
-// Call sends a request and waits for the response no longer than limit. The response
-// is read into a value of its own and copied to what the pointer points to only if
-// err is nil: one that comes later goes nowhere.
+// Call is CallContext for what has no lifetime but its limit.
 func (c *Client) Call(method string, request, response any, limit time.Duration) (err error) {
+	return c.CallContext(context.Background(), method, request, response, limit)
+}
+
+// CallContext sends a request and waits for the response no longer than limit and its context. The
+// response is read into a value of its own and copied to what the pointer points to only if
+// err is nil: one that comes later goes nowhere.
+func (c *Client) CallContext(
+	ctx context.Context, method string, request, response any, limit time.Duration,
+) (err error) {
 	client, err := c.connection(limit)
 	if err != nil {
 		return err
@@ -109,7 +117,7 @@
 	begun := c.clock()
 	received := reflect.New(reflect.TypeOf(response).Elem())
 	call := client.Go(method, request, received.Interface(), make(chan *rpc.Call, 1))
-	if c.wait(call, begun, limit) {
+	if c.wait(ctx, call, begun, limit) {
 		if call.Error == nil {
 			c.lastResponse.Store(int64(c.clock()))
 			reflect.ValueOf(response).Elem().Set(received.Elem())
@@ -121,6 +129,9 @@
 		}
 		return Class.Wrap(call.Error)
 	}
+	if err = ctx.Err(); err != nil {
+		return Class.Wrap(err)
+	}
 	if limit >= idleCallLimit && time.Duration(c.lastResponse.Load()) < begun {
 		c.drop(client)
 	}
@@ -129,12 +140,14 @@
 
 // wait waits for a call no longer than limit. A process that stood still meanwhile
 // has not looked at what arrived: it has not timed out before that is read.
-func (c *Client) wait(call *rpc.Call, begun, limit time.Duration) (done bool) {
+func (c *Client) wait(ctx context.Context, call *rpc.Call, begun, limit time.Duration) (done bool) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-call.Done:
 		return true
+	case <-ctx.Done():
+		return false
 	case <-timer.C:
 	}
 	if c.clock()-begun < limit+pauseThreshold {
