An answer without a length is whole where its connection ends in order

They were refused: a retry for what may be repeated, 502 for the rest, an unknown outcome for keyed operations. Change: they are read to the end of the connection; a reset is a failure as before.

--- a/internal/proxy/response_reader.go
+++ b/internal/proxy/response_reader.go
@@ -270,14 +270,11 @@
 }
 
 // readBody reads a small body completely; of a large one it returns the beginning and a reader of the
-// rest. A body that ends only with its connection cannot be told from a truncated one and is refused.
+// rest. A body without a length ends with its connection: in order, or it is not complete.
 func readBody(response *http.Response, limit int64) (body []byte, complete bool, rest io.Reader) {
 	if response.Body == http.NoBody || response.ContentLength == 0 {
 		return nil, true, nil
 	}
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		return nil, false, nil
-	}
 	if response.ContentLength > limit {
 		return nil, false, response.Body
 	}
