--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -140,32 +140,49 @@
 	awaitSignal(t, backend.ended, "the end of the stream")
 }
 
+// heldResponses are responses of backends that are held back until the gate opens.
+type heldResponses struct {
+	arrived chan string
+	gate    chan struct{}
+	respond responder
+}
+
+func newHeldResponses(respond responder) (h *heldResponses) {
+	h = &heldResponses{arrived: make(chan string, 4), gate: make(chan struct{})}
+	h.respond = func(n int, r receivedRequest, conn net.Conn) bool {
+		h.arrived <- r.ID
+		<-h.gate
+		return respond(n, r, conn)
+	}
+	return h
+}
+
+// leaveMeanwhile sends a request whose client leaves before the response comes, and waits until it has ended.
+func (h *heldResponses) leaveMeanwhile(t *testing.T, d *Daemon, route string) {
+	t.Helper()
+	connectToLeader(t, d, &fakeCoordinator{script: grantClaim})
+	conn, _ := dialFrontend(t, d)
+	key := message.HeaderOperationKey + ": k"
+	_, _ = io.WriteString(conn, patientRequest("POST", route+"x", "a", "Content-Length: 0", key))
+	awaitSignal(t, h.arrived, "the arrival of the request")
+	leave(t, conn)
+	await(t, func() bool { return d.frontend.Departures().Clients.Load() == 1 })
+	close(h.gate)
+	await(t, func() bool { return d.frontend.InFlight() == 0 })
+}
+
 // What has not been sent when its client leaves is not sent any more, whatever the kind of its
 // route: neither a retry nor a request that waits for capacity.
 func TestNothingIsSentForAClientThatHasLeft(t *testing.T) {
 	for _, route := range []string{"/long/", "/longonce/", "/longkey/"} {
 		t.Run("retry on "+route, func(t *testing.T) {
 			t.Parallel()
-			arrived, gate := make(chan string, 4), make(chan struct{})
-			reject := func(_ int, r receivedRequest, conn net.Conn) bool {
-				arrived <- r.ID
-				<-gate
+			held := newHeldResponses(func(_ int, r receivedRequest, conn net.Conn) bool {
 				_, err := io.WriteString(conn, responseText(503, r.ID, "", message.HeaderNotExecuted+": 1"))
 				return err == nil
-			}
-			first, second := newFakeBackend(t, "i-1", reject), newFakeBackend(t, "i-2", reject)
-			d := newTestDaemon(t, first, second)
-			if route == "/longkey/" {
-				connectToLeader(t, d, &fakeCoordinator{script: grantClaim})
-			}
-			conn, _ := dialFrontend(t, d)
-			key := message.HeaderOperationKey + ": k"
-			_, _ = io.WriteString(conn, patientRequest("POST", route+"x", "a", "Content-Length: 0", key))
-			awaitSignal(t, arrived, "the arrival of the request")
-			leave(t, conn)
-			await(t, func() bool { return d.frontend.Departures().Clients.Load() == 1 })
-			close(gate)
-			await(t, func() bool { return d.frontend.InFlight() == 0 })
+			})
+			first, second := newFakeBackend(t, "i-1", held.respond), newFakeBackend(t, "i-2", held.respond)
+			held.leaveMeanwhile(t, newTestDaemon(t, first, second), route)
 			if sent := first.count() + second.count(); sent != 1 {
 				t.Errorf("%d arrivals", sent)
 			}
@@ -228,22 +245,10 @@
 	for _, route := range []string{"/longonce/", "/longkey/"} {
 		t.Run(route, func(t *testing.T) {
 			t.Parallel()
-			arrived, gate := make(chan string, 4), make(chan struct{})
-			backend := newFakeBackend(t, "i-1", func(n int, r receivedRequest, conn net.Conn) bool {
-				arrived <- r.ID
-				<-gate
-				return respondOK(n, r, conn)
-			})
+			held := newHeldResponses(respondOK)
+			backend := newFakeBackend(t, "i-1", held.respond)
 			d := newTestDaemon(t, backend)
-			connectToLeader(t, d, &fakeCoordinator{script: grantClaim})
-			conn, _ := dialFrontend(t, d)
-			key := message.HeaderOperationKey + ": k"
-			_, _ = io.WriteString(conn, patientRequest("POST", route+"x", "a", "Content-Length: 0", key))
-			awaitSignal(t, arrived, "the arrival of the request")
-			leave(t, conn)
-			await(t, func() bool { return d.frontend.Departures().Clients.Load() == 1 })
-			close(gate)
-			await(t, func() bool { return d.frontend.InFlight() == 0 })
+			held.leaveMeanwhile(t, d, route)
 			if complete := d.attempts.byOutcome[Complete].Load(); complete != 1 {
 				t.Errorf("%d responses were read", complete)
 			}
