Serving figures and the end of a backend's connection are one piece of code each

Change: httpapi.ServeMetrics and proxy.Backend.connEnded. Behaviour is unchanged. Measured: scripts/test green (82 s).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -60,7 +60,7 @@
 	if err = c.listen(); err != nil {
 		return nil, err
 	}
-	c.serveMetrics()
+	c.metricsServer = httpapi.ServeMetrics(p.MetricsAddress, c.metrics(), log)
 	raftNode.Run()
 	return c, nil
 }
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -1,24 +1,6 @@
 package controller
 
-import (
-	"tinpin/internal/eventlog"
-	"tinpin/internal/httpapi"
-	"tinpin/internal/metrics"
-)
-
-// serveMetrics serves the figures where the settings say so. The controller works without them too.
-func (c *Controller) serveMetrics() {
-	address := c.settings.MetricsAddress
-	if address == "" {
-		return
-	}
-	server, err := httpapi.ServeHandler(address, c.metrics().Handler())
-	if err != nil {
-		c.log.Emit(eventlog.MetricsNotServed, eventlog.KeyError, err.Error(), "address", address)
-		return
-	}
-	c.metricsServer = server
-}
+import "tinpin/internal/metrics"
 
 // metrics are the figures of this controller.
 func (c *Controller) metrics() *metrics.Registry {
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -119,7 +119,9 @@
 		}
 		d.httpServers = append(d.httpServers, server)
 	}
-	d.serveMetrics()
+	if server := httpapi.ServeMetrics(p.MetricsAddress, d.metrics(), d.log); server != nil {
+		d.httpServers = append(d.httpServers, server)
+	}
 	return nil
 }
 
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -7,7 +7,6 @@
 
 	"tinpin/internal/eventlog"
 	"tinpin/internal/frontend"
-	"tinpin/internal/httpapi"
 	"tinpin/internal/metrics"
 )
 
@@ -46,20 +45,6 @@
 	return ctx.Err() != nil && errors.Is(context.Cause(ctx), frontend.ErrClientLeft)
 }
 
-// serveMetrics serves the figures where the settings say so. The node works without them too.
-func (d *Daemon) serveMetrics() {
-	address := d.settings.MetricsAddress
-	if address == "" {
-		return
-	}
-	server, err := httpapi.ServeHandler(address, d.metrics().Handler())
-	if err != nil {
-		d.log.Emit(eventlog.MetricsNotServed, eventlog.KeyError, err.Error(), "address", address)
-		return
-	}
-	d.httpServers = append(d.httpServers, server)
-}
-
 // metrics are the figures of this node.
 func (d *Daemon) metrics() *metrics.Registry {
 	registry, departures := metrics.NewRegistry(), d.frontend.Departures()
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -100,9 +100,7 @@
 	b.mu.Unlock()
 	netConn, err := dialer.DialContext(ctx, "tcp4", b.Address)
 	if err != nil {
-		b.mu.Lock()
-		b.openConns--
-		b.mu.Unlock()
+		b.connEnded()
 		return nil, err
 	}
 	// A small receive buffer leaves what is not read yet with the backend, off this node's link.
@@ -110,9 +108,7 @@
 	raw, err := netConn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		_ = netConn.Close()
-		b.mu.Lock()
-		b.openConns--
-		b.mu.Unlock()
+		b.connEnded()
 		return nil, err
 	}
 	conn = &Conn{netConn: netConn, raw: raw, reader: newLineReader(netConn), backend: b, fresh: true}
@@ -124,6 +120,11 @@
 // closeConn closes a connection that is not in the pool.
 func (b *Backend) closeConn(conn *Conn) {
 	_ = conn.netConn.Close()
+	b.connEnded()
+}
+
+// connEnded counts a connection that has ended, or has not come up.
+func (b *Backend) connEnded() {
 	b.mu.Lock()
 	b.openConns--
 	b.mu.Unlock()
