Sight: a shutdown logs its phases, what it takes meanwhile and what it gives up

Event 137 at the end of each phase: requests taken since the signal, when the last was, how many were given up. The logic of the shutdown is as it was.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -52,6 +52,7 @@
 	DiskFull
 	ClientsLeft
 	MetricsNotServed
+	ShutdownPhase
 )
 
 // Entry is the fixed part of an event's log line.
@@ -104,6 +105,7 @@
 	DiskFull:                {"disk full, writes paused or resumed", warn},
 	ClientsLeft:             {"clients left with requests unanswered", info},
 	MetricsNotServed:        {"figures not served", warn},
+	ShutdownPhase:           {"shutdown phase ended", info},
 }
 
 // Logger writes numbered events.
--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -249,6 +249,9 @@
 func (r *requestReader) enqueue(response *pendingResponse) {
 	r.client.unanswered.Add(1)
 	r.server.inFlight.Add(1)
+	if r.server.draining.Load() {
+		r.server.drainCounts.requestTaken()
+	}
 	r.pending <- response
 }
 
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -44,6 +44,8 @@
 	handle   Handler
 	view     func() *config.RoutingTable
 	draining atomic.Bool
+	// drainCounts counts from the beginning of draining.
+	drainCounts DrainCounts
 	// openConns counts connections, those that are only rejected among them.
 	openConns atomic.Int64
 	// inFlight counts requests that are read and not yet answered.
@@ -131,9 +133,6 @@
 	}
 }
 
-// StartDraining makes every further response close its connection.
-func (s *Server) StartDraining() { s.draining.Store(true) }
-
 // InFlight counts requests that are read and not yet answered.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
@@ -145,6 +144,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
+		s.drainCounts.Abandoned.Add(c.unanswered.Load())
 		_ = c.netConn.Close()
 	}
 }
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -189,6 +189,7 @@
 			break
 		}
 	}
+	d.logShutdown("listening", begun)
 	d.frontend.CloseListener()
 	for d.frontend.InFlight() > 0 && d.clock.Now()-begun < grace-150*time.Millisecond {
 		time.Sleep(10 * time.Millisecond)
@@ -197,10 +198,19 @@
 		_ = server.Close()
 	}
 	d.frontend.CloseConns()
+	d.logShutdown("draining", begun)
 	d.rpcListener.Close()
 	close(d.leader.Done)
 }
 
+// logShutdown logs the end of a phase of the shutdown that began at a time of the node's clock.
+func (d *Daemon) logShutdown(phase string, begun time.Duration) {
+	counts := d.frontend.DrainCounts()
+	d.log.Emit(eventlog.ShutdownPhase, "phase", phase, "elapsed_ms", (d.clock.Now() - begun).Milliseconds(),
+		"in_flight", d.frontend.InFlight(), "connections", d.frontend.OpenConns(), "taken", counts.Taken.Load(),
+		"last_taken_ms", counts.LastTaken().Milliseconds(), "abandoned", counts.Abandoned.Load())
+}
+
 // PeerService answers calls of other nodes. Its method names are part of the protocol.
 type PeerService struct{ daemon *Daemon }
 
