--- a/internal/proxy/fake_backend_test.go
+++ b/internal/proxy/fake_backend_test.go
@@ -151,6 +151,13 @@
 	d.retryBudget = NewRetryBudget(p.Bounds.RetryBudgetRatio, p.Bounds.RetryWindow, func() float64 { return 0 })
 	d.tenantLimits = NewTenantLimits(d.state.Leased, nil)
 	d.frontend = frontend.New(d.Handle, func() *config.RoutingTable { return d.state.Snapshot().View }, 100, 1<<20)
+	applyTestConfig(t, d, backends...)
+	return d
+}
+
+// applyTestConfig gives a node the configuration and the endpoint list of newTestDaemon.
+func applyTestConfig(t testing.TB, d *Daemon, backends ...*fakeBackend) {
+	t.Helper()
 	items := config.New()
 	document := `{"upserts":{"routes":{
 		"column_names":["name","hostname","path_prefix","route_type",
@@ -179,7 +186,6 @@
 		update.EndpointChunk.Endpoints = append(update.EndpointChunk.Endpoints, backend.endpoint())
 	}
 	d.state.Apply(0, update)
-	return d
 }
 
 // dialFrontend opens a client connection to the node.
--- /dev/null
+++ b/internal/proxy/shutdown_test.go
@@ -0,0 +1,145 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"tinpin/internal/eventlog"
+	"tinpin/internal/settings"
+)
+
+const (
+	// testGracePeriod is long enough for the longest work to end after the last request was taken.
+	testGracePeriod = 2 * time.Second
+	// minTestWork is the least that a backend works on a request; each works testWorkStep longer than the
+	// one before, up to testWorkSteps, so that there is no moment without a request in flight.
+	minTestWork   = 200 * time.Millisecond
+	testWorkStep  = 40 * time.Millisecond
+	testWorkSteps = 5
+)
+
+// startTestProxy starts a whole node on a loopback address of this process. It knows the configuration of
+// newTestDaemon and no leader.
+func startTestProxy(t *testing.T, backends ...*fakeBackend) (d *Daemon) {
+	t.Helper()
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.77", 64+pid>>8&63, pid&255)
+	p := settings.Settings{
+		Name: "edge-1", Address: host, Zone: "here", Region: "land", ZoneRegions: map[string]string{"here": "land"},
+		FrontendAddress: host + ":18161", ReadinessAddress: host + ":18167", DirectoryAddress: host + ":18164",
+		InternalPortLow: 17720, InternalPortHigh: 17735, MemoryMB: 64, MaxFileDescriptors: 1024, CPUShare: 1,
+		SubsetSize: 3, SendInterval: time.Minute, HealthCheckInterval: time.Minute,
+		EndpointListInterval: time.Minute, MaxIdleNonIdempotent: time.Minute,
+	}
+	p.Bounds = settings.Bounds{
+		RetryBudgetRatio: 100, RetryWindow: 10 * time.Second, KeyWindow: time.Minute,
+		MaxTTL: 5 * time.Second, GracePeriod: testGracePeriod,
+	}
+	d, err := Start(p, eventlog.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	applyTestConfig(t, d, backends...)
+	d.becomeReady()
+	return d
+}
+
+// sentRequest is what a client knows of one request.
+type sentRequest struct {
+	id string
+	// status is that of a complete response, 0 where none came.
+	status int
+}
+
+// eagerClient sends one request after another, on a connection that it keeps as long as it may, until the
+// node takes no connection any more.
+type eagerClient struct {
+	address, name string
+	requests      []sentRequest
+}
+
+func (c *eagerClient) run() {
+	for {
+		conn, err := net.Dial("tcp4", c.address)
+		if err != nil {
+			return
+		}
+		c.useConn(conn)
+		_ = conn.Close()
+	}
+}
+
+// useConn sends requests on one connection until that is to be closed.
+func (c *eagerClient) useConn(conn net.Conn) {
+	_ = conn.SetDeadline(time.Now().Add(2 * testGracePeriod))
+	in := bufio.NewReader(conn)
+	for {
+		sent := sentRequest{id: fmt.Sprint(c.name, "-", len(c.requests))}
+		_, err := io.WriteString(conn, requestText("GET", "/safe/x", sent.id))
+		var response *http.Response
+		if err == nil {
+			response, err = http.ReadResponse(in, nil)
+		}
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+		}
+		if err == nil {
+			sent.status = response.StatusCode
+		}
+		c.requests = append(c.requests, sent)
+		if err != nil || response.Close {
+			return
+		}
+	}
+}
+
+// arrivalCounts counts the arrivals of each request at a backend.
+func arrivalCounts(backend *fakeBackend) (arrived map[string]int) {
+	arrived = map[string]int{}
+	for _, request := range backend.received() {
+		arrived[request.ID]++
+	}
+	return arrived
+}
+
+// Whatever a node that stops has sent to a backend is answered, however many clients go on asking until the
+// node is gone: it takes nothing that it may have to give up, and rejects nothing that has run.
+func TestNothingTakenWhileStoppingIsGivenUp(t *testing.T) {
+	backend := newFakeBackend(t, "i-1", func(n int, r receivedRequest, conn net.Conn) bool {
+		<-time.After(minTestWork + time.Duration(n%testWorkSteps)*testWorkStep)
+		return respondOK(n, r, conn)
+	})
+	d := startTestProxy(t, backend)
+	clients := make([]*eagerClient, 8)
+	var running sync.WaitGroup
+	for i := range clients {
+		clients[i] = &eagerClient{address: d.settings.FrontendAddress, name: fmt.Sprint("client", i)}
+		running.Add(1)
+		go func() { defer running.Done(); clients[i].run() }()
+	}
+	d.Stop()
+	running.Wait()
+	arrived, served := arrivalCounts(backend), 0
+	for _, client := range clients {
+		for _, sent := range client.requests {
+			switch {
+			case sent.status == http.StatusOK:
+				served++
+			case sent.status == 0 && arrived[sent.id] > 0:
+				t.Errorf("request %s ran and got no answer", sent.id)
+			case sent.status == http.StatusServiceUnavailable && arrived[sent.id] > 0:
+				t.Errorf("request %s ran and was rejected", sent.id)
+			}
+		}
+	}
+	if served < len(clients) {
+		t.Errorf("%d requests served, %d clients", served, len(clients))
+	}
+}
