One way from the signal to the last byte, for every kind of connection in both programs

Cause: a proxy that was told to stop took requests until its grace period was over, since it waited for a moment without any in flight; whatever was at work then was given up (LOST).

Change: package shutdown runs four phases with times that follow from grace_period (docs/shutdown.md). A proxy takes everything while others learn of it, then closes its listener and idle connections, each by its own reader, and takes only what ends in time; downloads always only that. What is left at the end is answered. Controllers take the same phases; calls of operators and nodes that were read are answered before their connections close. Signals count from before the start; further ones change nothing.

--- a/cmd/tinpin/daemon.go
+++ b/cmd/tinpin/daemon.go
@@ -20,6 +20,8 @@
 	// heapTenths is how many tenths of the daemon's memory Go may use; the rest is
 	// for stacks, buffers of the kernel and the store.
 	heapTenths = 6
+	// signalQueue is how many signals may wait while a settings file is read.
+	signalQueue = 16
 )
 
 // daemon is a running role.
@@ -44,14 +46,16 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(p.MemoryMB) << 20 * heapTenths / 10)
 	log := eventlog.New(p.Name)
+	// Signals count from here on: one that comes while the daemon starts is heeded once it has started,
+	// when it may have accepted connections already.
+	signals := make(chan os.Signal, signalQueue)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	running, err := start(p, log)
 	if err != nil {
 		return call.fail(err, exitFailure)
 	}
 	log.Emit(eventlog.Started, "role", role, eventlog.KeyVersion, Version)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	signal.Ignore(syscall.SIGPIPE)
 	check := time.NewTicker(settingsCheckInterval)
 	defer check.Stop()
 	return attend(running, os.Getenv(settingsVariable), signals, check.C, log)
@@ -66,9 +70,7 @@
 		select {
 		case received := <-signals:
 			if received != syscall.SIGHUP {
-				log.Emit(eventlog.Stopping)
-				running.Stop()
-				log.Emit(eventlog.Stopped)
+				stop(running, signals, log)
 				return exitOK
 			}
 		case <-check:
@@ -87,6 +89,26 @@
 	}
 }
 
+// stop shuts the daemon down. Signals that come meanwhile change nothing: a shutdown has its times, and
+// what is to end sooner gets SIGKILL.
+func stop(running daemon, signals <-chan os.Signal, log *eventlog.Logger) {
+	log.Emit(eventlog.Stopping)
+	stopped := make(chan struct{})
+	go func() {
+		running.Stop()
+		close(stopped)
+	}()
+	for {
+		select {
+		case received := <-signals:
+			log.Emit(eventlog.SignalIgnored, "signal", received.String())
+		case <-stopped:
+			log.Emit(eventlog.Stopped)
+			return
+		}
+	}
+}
+
 // fileVersion differs when a file was written again; it is empty for none.
 func fileVersion(path string) (version string) {
 	info, err := os.Stat(path)
--- a/internal/apierror/apierror.go
+++ b/internal/apierror/apierror.go
@@ -51,6 +51,9 @@
 	VersionConflict
 	// ClientLeft means that the client had gone before there was a response.
 	ClientLeft
+	// ShuttingDown means that the request could not end before the process does, and was
+	// not sent.
+	ShuttingDown
 )
 
 // Response is what an error looks like to the caller.
@@ -94,6 +97,7 @@
 	SessionUnavailable: {Status: 503, Text: "the session's backend cannot be asked for now", RetryAfterMS: 200},
 	Isolated:           {Status: 503, Text: "this daemon has lost touch with the others", RetryAfterMS: 500},
 	ClientLeft:         {Status: 499, Text: "the client has left", MayHaveRun: true, Close: true},
+	ShuttingDown:       {Status: 503, Text: "this daemon is shutting down", RetryAfterMS: 50, Close: true},
 	NotConfigured:      {Status: 503, Text: "the configuration is not known yet", RetryAfterMS: 300},
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,6 +19,7 @@
 	"tinpin/internal/raft"
 	"tinpin/internal/rpc"
 	"tinpin/internal/settings"
+	"tinpin/internal/shutdown"
 )
 
 // proposalTimeout is how long an operator's call waits for the outcome of its
@@ -33,6 +34,7 @@
 	// nodeCalls answers the nodes, and holds the coordinator while this one leads.
 	nodeCalls       *coordinator.Handler
 	proposalTimeout time.Duration
+	shutdown        *shutdown.Sequence
 
 	internalListener *rpc.Server
 	apiServer        *http.Server
@@ -49,6 +51,7 @@
 	c = &Controller{
 		settings: p, log: log, node: raftNode, proposalTimeout: proposalTimeout,
 		nodeCalls: coordinator.NewHandler(raftNode, raftNode),
+		shutdown:  shutdown.New(ShutdownTimeline(p.Bounds.GracePeriod)),
 	}
 	raftNode.OnLeadership = c.roleChanged
 	raftNode.OnChange = c.stateChanged
@@ -120,14 +123,3 @@
 
 // Reload takes changed settings up: only the seeds may change while it runs.
 func (c *Controller) Reload(p settings.Settings) { c.node.SetSeeds(p.Seeds) }
-
-// Stop hands leadership over and ends all work.
-func (c *Controller) Stop() {
-	c.node.Close()
-	_ = c.apiServer.Close()
-	if c.metricsServer != nil {
-		_ = c.metricsServer.Close()
-	}
-	c.internalListener.Close()
-	c.replaceCoordinator(nil)
-}
--- a/internal/docs/docs_test.go
+++ b/internal/docs/docs_test.go
@@ -55,7 +55,7 @@
 
 func TestErrorsTable(t *testing.T) {
 	text := page(t, "docs/errors.md")
-	for kind := apierror.BadRequest; kind <= apierror.ClientLeft; kind++ {
+	for kind := apierror.BadRequest; kind <= apierror.ShuttingDown; kind++ {
 		answer := kind.Response()
 		ran := "no"
 		if answer.MayHaveRun {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -53,6 +53,7 @@
 	ClientsLeft
 	MetricsNotServed
 	ShutdownPhase
+	SignalIgnored
 )
 
 // Entry is the fixed part of an event's log line.
@@ -106,6 +107,7 @@
 	ClientsLeft:             {"clients left with requests unanswered", info},
 	MetricsNotServed:        {"figures not served", warn},
 	ShutdownPhase:           {"shutdown phase ended", info},
+	SignalIgnored:           {"signal ignored during shutdown", info},
 }
 
 // Logger writes numbered events.
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -10,7 +10,7 @@
 
 func TestEveryNumberHasItsOwnEntry(t *testing.T) {
 	texts := map[string]Event{}
-	for event := Started; event <= ShutdownPhase; event++ {
+	for event := Started; event <= SignalIgnored; event++ {
 		entry, found := Catalogue[event]
 		if !found || entry.Text == "" {
 			t.Errorf("event %d has no text", event)
@@ -20,8 +20,8 @@
 		}
 		texts[entry.Text] = event
 	}
-	if len(Catalogue) != int(ShutdownPhase-Started)+1 {
-		t.Errorf("%d entries for %d numbers", len(Catalogue), ShutdownPhase-Started+1)
+	if len(Catalogue) != int(SignalIgnored-Started)+1 {
+		t.Errorf("%d entries for %d numbers", len(Catalogue), SignalIgnored-Started+1)
 	}
 }
 
@@ -31,7 +31,7 @@
 		Started: 101, LeaderElected: 106, DiskWriteFailed: 110, NodeExpired: 113, ChangeObserved: 120,
 		EjectionChanged: 122, IsolationChanged: 125, PeerMessageRejected: 131, RecordCorrupt: 132,
 		OperatorRequestRejected: 133, DiskFull: 134, ClientsLeft: 135, MetricsNotServed: 136,
-		ShutdownPhase: 137,
+		ShutdownPhase: 137, SignalIgnored: 138,
 	} {
 		if int(event) != number {
 			t.Errorf("%q is %d, must be %d", Catalogue[event].Text, event, number)
--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -28,6 +28,7 @@
 	unanswered atomic.Int64
 	answeredAt atomic.Int64
 	answers    answerWatch
+	idleWait   idleWait
 	// broken is set when no response can be written any more, closing when a response that
 	// closes the connection is about to be, evicted when it was closed for another's sake.
 	broken, closing, evicted atomic.Bool
@@ -68,7 +69,7 @@
 
 // serveConn serves one client connection until it ends.
 func (s *Server) serveConn(conn net.Conn, rejectAll bool) {
-	client := newClientConn(conn, rejectAll)
+	client := newClientConn(s.ctx, conn, rejectAll)
 	defer client.cancel(errAnswered)
 	s.setIdle(client, false)
 	defer func() {
@@ -83,9 +84,10 @@
 	s.readRequests(client, pending)
 	close(pending)
 	<-written
-	if !client.broken.Load() {
+	if client.closing.Load() && !client.broken.Load() {
 		// What the client still sends is read and discarded for a moment, so that the last
-		// response is not lost to a reset.
+		// response is not lost to a reset. Where no response closes the connection nothing more
+		// is read: a request that crosses the close must not seem to be taken.
 		closeWrite(conn)
 		_ = conn.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.Copy(io.Discard, io.LimitReader(conn, 1<<20))
@@ -140,6 +142,9 @@
 	if kind == apierror.None {
 		request, kind = r.readRequest(parsed, limits)
 	}
+	if kind != apierror.None && r.server.interrupted() {
+		kind = apierror.ShuttingDown
+	}
 	if kind != apierror.None {
 		r.reject(kind, id)
 		return false
@@ -175,10 +180,16 @@
 // last response, and never while a request is unanswered.
 func (r *requestReader) peekUntilIdle(idleTime time.Duration) (err error) {
 	client := r.client
+	client.idleWait.begin()
+	defer client.idleWait.end()
 	for idleEnd := time.Now().Add(idleTime); ; {
 		_ = client.netConn.SetReadDeadline(idleEnd)
+		if r.mustEnd() {
+			// What asks for the end may have woken this reader before it set its deadline.
+			_ = client.netConn.SetReadDeadline(time.Now())
+		}
 		_, err = r.in.Peek(1)
-		if err == nil || !message.IsTimeout(err) || client.closing.Load() || client.evicted.Load() {
+		if err == nil || !message.IsTimeout(err) || r.mustEnd() {
 			return err
 		}
 		now := time.Now()
@@ -188,6 +199,13 @@
 	}
 }
 
+// mustEnd tells that a connection ends now unless a request has arrived on it.
+func (r *requestReader) mustEnd() bool {
+	client := r.client
+	return client.closing.Load() || client.evicted.Load() ||
+		r.server.closingIdle.Load() && client.unanswered.Load() == 0
+}
+
 // readHead reads the head of a request. Without a head it returns nil, with no error kind
 // where the client has gone; a head that is too long may come with its kind.
 func (r *requestReader) readHead(limits config.ClientLimits) (parsed *http.Request, kind apierror.Kind) {
@@ -319,6 +337,7 @@
 		// The reader is woken, and what it has read behind is not handled.
 		closeWrite(conn)
 		_ = conn.SetReadDeadline(time.Now().Add(lingerTime))
+		client.idleWait.wake(conn)
 	}
 	return buffer, response.Close
 }
--- a/internal/frontend/departures.go
+++ b/internal/frontend/departures.go
@@ -32,10 +32,11 @@
 // Departures gives the counts of this server.
 func (s *Server) Departures() *Departures { return &s.departures }
 
-func newClientConn(conn net.Conn, rejectAll bool) (client *clientConn) {
+// newClientConn is a connection whose requests live no longer than a lifetime.
+func newClientConn(lifetime context.Context, conn net.Conn, rejectAll bool) (client *clientConn) {
 	client = &clientConn{netConn: conn, rejectAll: rejectAll, openedAt: time.Now()}
 	client.answers.written = make(chan struct{}, 1)
-	client.ctx, client.cancel = context.WithCancelCause(context.Background())
+	client.ctx, client.cancel = context.WithCancelCause(lifetime)
 	return client
 }
 
@@ -72,6 +73,36 @@
 	c.answers.notify(c.netConn)
 }
 
+// idleWait wakes the reading side of a connection where it waits for the next request, and never while
+// it reads one.
+type idleWait struct {
+	mu      sync.Mutex
+	waiting bool
+}
+
+// begin has wake wake the reading side.
+func (w *idleWait) begin() {
+	w.mu.Lock()
+	w.waiting = true
+	w.mu.Unlock()
+}
+
+// end has wake leave the reading side alone; none is at it any more when end returns.
+func (w *idleWait) end() {
+	w.mu.Lock()
+	w.waiting = false
+	w.mu.Unlock()
+}
+
+// wake wakes the reading side where it waits.
+func (w *idleWait) wake(conn net.Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.waiting {
+		_ = conn.SetReadDeadline(time.Now())
+	}
+}
+
 // answerWatch wakes the reading side of a connection when a response was written. The reading side
 // cannot simply wait for responses: it would not notice that the client leaves meanwhile.
 type answerWatch struct {
--- /dev/null
+++ b/internal/frontend/draining_test.go
@@ -0,0 +1,164 @@
+package frontend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"tinpin/internal/config"
+	"tinpin/internal/message"
+)
+
+// heldRequests are requests whose handling lasts until they are let go, or their lifetime ends.
+type heldRequests struct {
+	begun chan string
+	letGo chan struct{}
+}
+
+func (h *heldRequests) handle(ctx context.Context, request *message.Request, _ string) message.Response {
+	h.begun <- request.ID
+	select {
+	case <-h.letGo:
+		return bodyOf(request)
+	case <-ctx.Done():
+		return message.Response{Status: http.StatusBadGateway, Close: true}
+	}
+}
+
+// serveHeld serves requests that are held.
+func serveHeld(t *testing.T) (server *Server, address string, held *heldRequests) {
+	t.Helper()
+	held = &heldRequests{begun: make(chan string, 16), letGo: make(chan struct{})}
+	view := config.New().RoutingTable()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server = New(held.handle, func() *config.RoutingTable { return view }, 100, 1<<20)
+	server.listener = listener
+	go server.Serve(listener)
+	t.Cleanup(func() { server.CloseListener(); server.CloseConns() })
+	return server, listener.Addr().String(), held
+}
+
+// drainLater drains the server and tells how that ended.
+func drainLater(ctx context.Context, server *Server) <-chan bool {
+	drained := make(chan bool, 1)
+	go func() { drained <- server.Drain(ctx) }()
+	return drained
+}
+
+// What waits for a request is closed, what is being read is served, and draining ends with the last
+// connection: not before, and without a wait for the client to leave an idle one.
+func TestDrainingEndsWithTheLastConnection(t *testing.T) {
+	server, address, held := serveHeld(t)
+	_, idleIn := dial(t, address)
+	busy, busyIn := dial(t, address)
+	_, _ = io.WriteString(busy, get("/safe/1", "busy"))
+	<-held.begun
+	reading, readingIn := dial(t, address)
+	text := get("/safe/2", "reading")
+	_, _ = io.WriteString(reading, text[:20])
+	awaitReaders(t, server, 1)
+	drained := drainLater(t.Context(), server)
+	if _, err := idleIn.Peek(1); err != io.EOF {
+		t.Errorf("an idle connection: %v", err)
+	}
+	_, _ = io.WriteString(reading, text[20:])
+	if id := <-held.begun; id != "reading" {
+		t.Errorf("%s is handled", id)
+	}
+	select {
+	case <-drained:
+		t.Fatal("drained with requests in flight")
+	default:
+	}
+	close(held.letGo)
+	for _, in := range []*bufio.Reader{busyIn, readingIn} {
+		response, _, err := receive(t, in)
+		if err != nil || response.StatusCode != http.StatusOK || !response.Close {
+			t.Errorf("%v %v", response, err)
+		}
+	}
+	_, _ = busy.Close(), reading.Close()
+	if !<-drained {
+		t.Error("not drained")
+	}
+	if conn, err := net.Dial("tcp4", address); err == nil {
+		_ = conn.Close()
+		t.Error("a connection was accepted")
+	}
+}
+
+// What is in flight at the end of the time for draining is answered, and its connection ends.
+func TestInterruptedRequestsAreAnswered(t *testing.T) {
+	server, address, held := serveHeld(t)
+	conn, in := dial(t, address)
+	_, _ = io.WriteString(conn, get("/safe/1", "a"))
+	<-held.begun
+	ended, end := context.WithCancel(t.Context())
+	end()
+	if server.Drain(ended) {
+		t.Error("drained with a request in flight")
+	}
+	calls := 0
+	interrupted := make(chan struct{})
+	go func() {
+		server.Interrupt(t.Context(), func() { calls++ })
+		close(interrupted)
+	}()
+	response, _, err := receive(t, in)
+	if err != nil || response.StatusCode != http.StatusBadGateway || !response.Close {
+		t.Errorf("%v %v", response, err)
+	}
+	_ = conn.Close()
+	<-interrupted
+	if abandoned := server.DrainCounts().Abandoned.Load(); abandoned != 1 || calls != 1 {
+		t.Errorf("%d abandoned, %d calls", abandoned, calls)
+	}
+}
+
+// A request that comes while its connection is closed as idle is either answered, or never handled.
+func TestARequestThatCrossesTheCloseIsNotTaken(t *testing.T) {
+	for range 50 {
+		server, address, held := serveHeld(t)
+		close(held.letGo)
+		conn, in := dial(t, address)
+		awaitReaders(t, server, 1)
+		drained := drainLater(t.Context(), server)
+		_, _ = io.WriteString(conn, get("/safe/1", "a"))
+		response, _, err := receive(t, in)
+		_ = conn.Close()
+		<-drained
+		answered := err == nil && response.StatusCode == http.StatusOK
+		if handled := len(held.begun) == 1; handled != answered {
+			t.Fatalf("handled %v, answered %v: %v", handled, answered, err)
+		}
+	}
+}
+
+// awaitReaders waits until so many connections wait for a request.
+func awaitReaders(t *testing.T, server *Server, count int) {
+	t.Helper()
+	for waiting := 0; waiting < count; {
+		waiting = 0
+		server.mu.Lock()
+		for c := range server.conns {
+			c.idleWait.mu.Lock()
+			if c.idleWait.waiting && c.unanswered.Load() == 0 {
+				waiting++
+			}
+			c.idleWait.mu.Unlock()
+		}
+		server.mu.Unlock()
+		select {
+		case <-t.Context().Done():
+			t.Fatal("the readers do not come to wait")
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -44,8 +44,15 @@
 	handle   Handler
 	view     func() *config.RoutingTable
 	draining atomic.Bool
+	// closingIdle is set once connections that wait for a request are to end.
+	closingIdle atomic.Bool
 	// drainCounts counts from the beginning of draining.
 	drainCounts DrainCounts
+	// ctx is the lifetime of all requests; cancel ends it.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// running counts the loops that accept, and the connections.
+	running sync.WaitGroup
 	// openConns counts connections, those that are only rejected among them.
 	openConns atomic.Int64
 	// inFlight counts requests that are read and not yet answered.
@@ -69,6 +76,7 @@
 	handle Handler, view func() *config.RoutingTable, maxConns int, bodyBytes int64,
 ) *Server {
 	s := &Server{handle: handle, view: view, maxConns: int64(maxConns), conns: map[*clientConn]time.Time{}}
+	s.ctx, s.cancel = context.WithCancelCause(context.Background())
 	s.bodyBytesLeft.Store(bodyBytes)
 	return s
 }
@@ -84,6 +92,8 @@
 
 // Serve accepts connections until the listener closes.
 func (s *Server) Serve(listener net.Listener) {
+	s.running.Add(1)
+	defer s.running.Done()
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -101,7 +111,8 @@
 		}
 		// Beyond the limit the connection that has been idle longest is closed; where none is
 		// idle, the requests of the new one are rejected with a response the client can trust.
-		go s.serveConn(conn, open > s.maxConns && !s.closeLongestIdle())
+		rejectAll := open > s.maxConns && !s.closeLongestIdle()
+		s.running.Go(func() { s.serveConn(conn, rejectAll) })
 	}
 }
 
@@ -120,7 +131,7 @@
 	}
 	s.conns[oldest] = time.Time{}
 	oldest.evicted.Store(true)
-	_ = oldest.netConn.SetReadDeadline(time.Now())
+	oldest.idleWait.wake(oldest.netConn)
 	return true
 }
 
@@ -137,14 +148,8 @@
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 // CloseListener stops listening.
-func (s *Server) CloseListener() { _ = s.listener.Close() }
-
-// CloseConns closes the connections that are still open.
-func (s *Server) CloseConns() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		s.drainCounts.Abandoned.Add(c.unanswered.Load())
-		_ = c.netConn.Close()
+func (s *Server) CloseListener() {
+	if s.listener != nil {
+		_ = s.listener.Close()
 	}
 }
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -24,6 +24,10 @@
 	connectionTimeout = 3 * time.Second
 )
 
+// shutdownTimeout is how long a server that is shut down waits for the calls that it has read: longer than
+// the longest of them takes.
+const shutdownTimeout = time.Second
+
 type callerAddressKey struct{}
 
 // CallerAddress is the address of who calls Resolve, empty where it is not known.
@@ -82,3 +86,13 @@
 	go func() { _ = answering.Serve(listener) }()
 	return answering, nil
 }
+
+// Shutdown closes a server: its listener and idle connections at once, the others once their calls are
+// answered, or the context has ended.
+func Shutdown(ctx context.Context, server *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+	}
+}
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -5,6 +5,7 @@
 // it is; else it stays until the new set is committed, within the time it has.
 
 import (
+	"context"
 	"time"
 
 	"tinpin/internal/raft"
@@ -78,12 +79,12 @@
 	return LeavePending
 }
 
-// leave is bounded by three quarters of the time until the process is killed.
-// Where no leader answers it goes on asking for a third of that time if a
-// successor is known, and only shortly if too few are left to elect one.
-func (n *Node) leave() {
+// Leave has the node leave its group where a successor is ready, and transfers leadership if
+// held. Where no leader answers it goes on asking for a third of the grace period if a
+// successor is known, and only shortly if too few are left to elect one. It ends with its
+// context; the node goes on as the member that it still is.
+func (n *Node) Leave(ctx context.Context) {
 	grace := n.settings.Bounds.GracePeriod
-	end := time.Now().Add(grace * 3 / 4)
 	ask, near := n.prepareLeave()
 	heard, reached := time.Now(), time.Now()
 	for ask {
@@ -98,7 +99,7 @@
 		if status != 0 {
 			heard, reached, near = now, now, true
 		}
-		if !near || now.Sub(heard) >= grace/3 || now.Sub(reached) >= resignWait || !now.Before(end) {
+		if !near || now.Sub(heard) >= grace/3 || now.Sub(reached) >= resignWait || ctx.Err() != nil {
 			break
 		}
 		time.Sleep(raft.TickInterval)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,9 +138,8 @@
 	go n.writeLoop()
 }
 
-// Close leaves the group where a successor is ready, transfers leadership if held, and stops.
+// Close stops the node. Leave comes before, where others go on.
 func (n *Node) Close() {
-	n.leave()
 	close(n.stop)
 	// A disk that stands still must not hold the end up.
 	closed := make(chan struct{})
--- a/internal/proxy/claims.go
+++ b/internal/proxy/claims.go
@@ -22,6 +22,8 @@
 	maxPendingReleases = 8192
 	releaseRetryPause  = 250 * time.Millisecond
 	releaseCallTimeout = time.Second
+	// releaseCheckInterval is how often a node that stops looks whether all keys are given back.
+	releaseCheckInterval = 20 * time.Millisecond
 )
 
 // Claim asks the leader for a key, again where an attempt had no clear outcome: to claim
@@ -197,3 +199,14 @@
 	}
 	return true
 }
+
+// AwaitReleases waits until the leader has acknowledged all keys that were given back; it returns false
+// where the context ends before.
+func (l *LeaderClient) AwaitReleases(ctx context.Context) (acknowledged bool) {
+	for len(l.nextReleases()) > 0 {
+		if !pause(ctx, releaseCheckInterval) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/proxy/cluster_state.go
+++ b/internal/proxy/cluster_state.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -175,16 +176,17 @@
 	return counts
 }
 
+// listedBackends are the backends of the endpoint list.
+func (s *ClusterState) listedBackends() (backends []*Backend) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.backends))
+}
+
 // CloseIdle closes connections to backends that were idle too long.
 func (s *ClusterState) CloseIdle() {
-	s.mu.Lock()
-	backends := make([]*Backend, 0, len(s.backends))
-	for _, backend := range s.backends {
-		backends = append(backends, backend)
-	}
-	s.mu.Unlock()
 	now := s.clock.Now()
-	for _, backend := range backends {
+	for _, backend := range s.listedBackends() {
 		backend.closeIdle(now, false)
 	}
 }
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,7 @@
 	"tinpin/internal/rpc"
 	"tinpin/internal/schedule"
 	"tinpin/internal/settings"
+	"tinpin/internal/shutdown"
 )
 
 const (
@@ -38,22 +40,24 @@
 
 // Daemon is a running node.
 type Daemon struct {
-	settings       settings.Settings
-	log            *eventlog.Logger
-	clock          Clock
-	incarnation    rpc.Incarnation
-	recallPause    time.Duration
-	state          *ClusterState
-	leader         *LeaderClient
-	operations     *idempotency.Store
-	retryBudget    *RetryBudget
-	tenantLimits   *TenantLimits
-	concurrency    concurrencyLimiters
-	bandwidth      *BandwidthLimiter
-	frontend       *frontend.Server
-	prober         *Prober
-	ready          atomic.Bool
-	stopping       atomic.Bool
+	settings     settings.Settings
+	log          *eventlog.Logger
+	clock        Clock
+	incarnation  rpc.Incarnation
+	recallPause  time.Duration
+	state        *ClusterState
+	leader       *LeaderClient
+	operations   *idempotency.Store
+	retryBudget  *RetryBudget
+	tenantLimits *TenantLimits
+	concurrency  concurrencyLimiters
+	bandwidth    *BandwidthLimiter
+	frontend     *frontend.Server
+	prober       *Prober
+	ready        atomic.Bool
+	shutdown     *shutdown.Sequence
+	// storing counts responses that are being stored on a peer.
+	storing        sync.WaitGroup
 	httpServers    []*http.Server
 	rpcListener    *rpc.Server
 	attempts       attemptCounts
@@ -68,6 +72,7 @@
 		settings: p, log: log, clock: NewClock(),
 		incarnation: rpc.Incarnation(binary.LittleEndian.Uint64(random[:])), recallPause: recallPause,
 	}
+	d.shutdown = shutdown.New(ShutdownTimeline(p.Bounds.GracePeriod))
 	d.state = NewClusterState(p, log, d.clock)
 	d.operations = idempotency.NewStore(p.Bounds.KeyWindow+20*time.Second, p.MemoryMB<<20/6, d.clock.Now)
 	d.leader = NewLeaderClient(p, log, d.clock, d.state, d.incarnation, d.self)
@@ -126,7 +131,7 @@
 }
 
 func (d *Daemon) isReady() bool {
-	return d.ready.Load() && !d.stopping.Load() && !d.state.Policies.Isolated()
+	return d.ready.Load() && !d.shutdown.Begun() && !d.state.Policies.Isolated()
 }
 
 // self is what this node says about itself.
@@ -135,7 +140,7 @@
 		ID: rpc.NodeID(d.settings.Name), Incarnation: d.incarnation,
 		Zone: rpc.ZoneName(d.settings.Zone), Region: rpc.RegionName(d.settings.Region),
 		FrontendAddress: d.settings.FrontendAddress, InternalAddress: d.settings.ProxyInternalAddress(),
-		Ready: d.ready.Load(), Stopping: d.stopping.Load(),
+		Ready: d.ready.Load(), Stopping: d.shutdown.Begun(),
 	}
 }
 
@@ -172,45 +177,6 @@
 // Reload applies changed settings.
 func (d *Daemon) Reload(p settings.Settings) { d.leader.SetSeeds(p.Seeds) }
 
-// Stop shuts the node down gracefully. The leader is notified first, so that the directories of other nodes
-// stop naming this one, and from then on every response closes its connection. Once directory answers that
-// name this node have expired and no request is in flight, or at the end of the grace period, it stops.
-func (d *Daemon) Stop() {
-	d.stopping.Store(true)
-	d.frontend.StartDraining()
-	go d.leader.HeartbeatNow()
-	begun := d.clock.Now()
-	grace := d.settings.Bounds.GracePeriod
-	linger := min(grace/2, directory.TTL+time.Second)
-	for {
-		time.Sleep(20 * time.Millisecond)
-		spent := d.clock.Now() - begun
-		if spent >= linger && d.frontend.InFlight() == 0 || spent >= grace-300*time.Millisecond {
-			break
-		}
-	}
-	d.logShutdown("listening", begun)
-	d.frontend.CloseListener()
-	for d.frontend.InFlight() > 0 && d.clock.Now()-begun < grace-150*time.Millisecond {
-		time.Sleep(10 * time.Millisecond)
-	}
-	for _, server := range d.httpServers {
-		_ = server.Close()
-	}
-	d.frontend.CloseConns()
-	d.logShutdown("draining", begun)
-	d.rpcListener.Close()
-	close(d.leader.Done)
-}
-
-// logShutdown logs the end of a phase of the shutdown that began at a time of the node's clock.
-func (d *Daemon) logShutdown(phase string, begun time.Duration) {
-	counts := d.frontend.DrainCounts()
-	d.log.Emit(eventlog.ShutdownPhase, "phase", phase, "elapsed_ms", (d.clock.Now() - begun).Milliseconds(),
-		"in_flight", d.frontend.InFlight(), "connections", d.frontend.OpenConns(), "taken", counts.Taken.Load(),
-		"last_taken_ms", counts.LastTaken().Milliseconds(), "abandoned", counts.Abandoned.Load())
-}
-
 // PeerService answers calls of other nodes. Its method names are part of the protocol.
 type PeerService struct{ daemon *Daemon }
 
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -48,7 +48,7 @@
 			return response, plan.errorKind(apierror.Overloaded)
 		}
 		if !pause(ctx, capacityPollInterval) {
-			return response, apierror.ClientLeft
+			return response, endedKind(ctx, plan)
 		}
 	}
 	defer limiter.Release()
@@ -81,7 +81,7 @@
 	arrivals := 0
 	for {
 		if ctx.Err() != nil {
-			return response, apierror.ClientLeft
+			return response, endedKind(ctx, plan)
 		}
 		now := d.clock.Now()
 		if now >= plan.Deadline {
@@ -112,6 +112,9 @@
 		case StepRespond:
 			return attempt.Response, apierror.None
 		case StepFail:
+			if ctx.Err() != nil {
+				kind = endedKind(ctx, plan)
+			}
 			return response, kind
 		case StepRetry:
 			if plan.BoundBackend != "" {
--- a/internal/proxy/fake_backend_test.go
+++ b/internal/proxy/fake_backend_test.go
@@ -18,6 +18,7 @@
 	"tinpin/internal/message"
 	"tinpin/internal/rpc"
 	"tinpin/internal/settings"
+	"tinpin/internal/shutdown"
 )
 
 // receivedRequest is a request as a fake backend got it.
@@ -144,7 +145,10 @@
 		MaxTTL: 5 * time.Second, GracePeriod: time.Second,
 	}
 	clock := NewClock()
-	d = &Daemon{settings: p, log: eventlog.Discard(), clock: clock, incarnation: 1}
+	d = &Daemon{
+		settings: p, log: eventlog.Discard(), clock: clock, incarnation: 1,
+		shutdown: shutdown.New(ShutdownTimeline(p.Bounds.GracePeriod)),
+	}
 	d.state = NewClusterState(p, d.log, clock)
 	d.operations = idempotency.NewStore(time.Minute, 1<<20, clock.Now)
 	d.leader = NewLeaderClient(p, d.log, clock, d.state, 1, d.self)
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -122,7 +122,7 @@
 	case config.AllowsRegion(regions, d.settings.Region):
 		d.operations.Complete(operation, response.Status, response.Headers, response.Body)
 	default:
-		go d.storeOnPeer(operation, plan, response)
+		d.storing.Go(func() { d.storeOnPeer(operation, plan, response) })
 	}
 }
 
--- a/internal/proxy/planning.go
+++ b/internal/proxy/planning.go
@@ -35,6 +35,9 @@
 	if left <= 0 {
 		return nil, apierror.DeadlineTooShort, 0
 	}
+	if !d.accepts(route, left) {
+		return nil, apierror.ShuttingDown, 0
+	}
 	plan = &Plan{
 		Route: route, Service: pickTarget(route, rand.Float64()), Request: request,
 		StartedAt: now, Deadline: now + left, AttemptsLeft: route.MaxAttempts,
--- a/internal/proxy/planning_test.go
+++ b/internal/proxy/planning_test.go
@@ -33,7 +33,7 @@
 	if !d.isReady() {
 		t.Error("not ready with the configuration and the endpoint list")
 	}
-	d.stopping.Store(true)
+	d.shutdown.Begin()
 	if d.isReady() {
 		t.Error("ready though it is to stop")
 	}
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,7 +13,10 @@
 	"time"
 
 	"tinpin/internal/eventlog"
+	"tinpin/internal/frontend"
+	"tinpin/internal/message"
 	"tinpin/internal/settings"
+	"tinpin/internal/shutdown"
 )
 
 const (
@@ -143,3 +147,97 @@
 		t.Errorf("%d requests served, %d clients", served, len(clients))
 	}
 }
+
+// What is in flight when a node must end is answered at once: with a promise where nothing was sent, and
+// without one where a backend is at work, however often the request may run.
+func TestInterruptedRequestsPromiseOnlyWhatIsProven(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, path string
+		headers      []string
+	}{
+		"idempotent":     {"GET", "/long/x", nil},
+		"non-idempotent": {"POST", "/longonce/x", []string{"Content-Length: 0"}},
+		"keyed":          {"POST", "/longkey/x", []string{"Content-Length: 0", message.HeaderOperationKey + ": k"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			backend := newSilentBackend(t, "i-1", "")
+			d := newTestDaemon(t, backend.fakeBackend)
+			connectToLeader(t, d, &fakeCoordinator{script: grantClaim})
+			conn, in := dialFrontend(t, d)
+			_, _ = io.WriteString(conn, patientRequest(c.method, c.path, "a", c.headers...))
+			awaitSignal(t, backend.arrived, "the arrival of the request")
+			go nodeShutdown{d}.Interrupt(t.Context())
+			response, _, err := readResponseFrom(t, in, c.method)
+			if err != nil || response.StatusCode != http.StatusBadGateway || !response.Close {
+				t.Errorf("%v %v", response, err)
+			}
+			awaitSignal(t, backend.ended, "the end of the request")
+		})
+	}
+}
+
+// A request that is waiting for its turn when the node must end has not run, and never will.
+func TestARequestThatWaitsIsRejectedAtTheEnd(t *testing.T) {
+	backend := newFakeBackend(t, "i-1", respondOK)
+	d := newTestDaemon(t, backend)
+	limiter := d.concurrency.forService("s")
+	limiter.limit = minConcurrency
+	for limiter.Acquire(0) {
+		t.Cleanup(limiter.Release)
+	}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	cancel(frontend.ErrShuttingDown)
+	response := d.Handle(ctx, newRequest("GET", "/long/x", "a"), "60000")
+	if response.Status != http.StatusServiceUnavailable || backend.count() != 0 {
+		t.Errorf("status %d, %d arrivals", response.Status, backend.count())
+	}
+}
+
+// Once others know that a node stops, it takes only what ends in time; a large response, which may still be
+// delivered when its backend is done, only that from the beginning.
+func TestWhatAStoppingNodeTakes(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, deadline string
+		announced      bool
+		status         int
+	}{
+		"long, others do not know":      {"/long/x", "60000", false, http.StatusOK},
+		"long, others know":             {"/long/x", "60000", true, http.StatusServiceUnavailable},
+		"short, others know":            {"/long/x", "100", true, http.StatusOK},
+		"large, others do not know":     {"/stream/x", "60000", false, http.StatusServiceUnavailable},
+		"large and ends in time":        {"/stream/x", "100", false, http.StatusOK},
+		"unknown route, others know":    {"/nowhere/", "60000", true, http.StatusNotFound},
+		"may run once, others know":     {"/longonce/x", "60000", true, http.StatusServiceUnavailable},
+		"may run once, others do not":   {"/longonce/x", "60000", false, http.StatusOK},
+		"may run once and ends in time": {"/longonce/x", "100", true, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			backend := newFakeBackend(t, "i-1", respondOK)
+			d := newTestDaemon(t, backend)
+			line := shutdown.Timeline{DrainUntil: time.Minute / 2, CloseBy: time.Minute}
+			if !c.announced {
+				line.AcceptUntil = line.DrainUntil
+			}
+			d.shutdown = shutdown.New(line)
+			d.shutdown.Begin()
+			response := d.Handle(t.Context(), newRequest("GET", c.path, "a"), c.deadline)
+			if response.Status != c.status {
+				t.Errorf("status %d", response.Status)
+			}
+			if ran := backend.count() == 1; ran != (c.status == http.StatusOK) {
+				t.Errorf("%d arrivals", backend.count())
+			}
+		})
+	}
+}
+
+// A node that was never ready ends at once: nobody was sent to it.
+func TestANodeThatWasNeverReadyEndsAtOnce(t *testing.T) {
+	d := startTestProxy(t)
+	d.ready.Store(false)
+	begun := time.Now()
+	d.Stop()
+	if took := time.Since(begun); took >= ShutdownTimeline(testGracePeriod).AcceptUntil {
+		t.Errorf("it took %v", took)
+	}
+}
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"encoding/gob"
+	"errors"
 	"io"
 	"log"
 	"net/rpc"
+	"os"
 
 	"tinpin/internal/rpc/wire"
 )
@@ -68,9 +70,9 @@
 }
 
 // ReadRequestHeader also notices the end of the connection: net/rpc waits for the calls at work
-// before it closes the codec.
+// before it closes the codec. A deadline is set only by Server.Shutdown, whose callers still wait.
 func (c *serverCodec) ReadRequestHeader(header *rpc.Request) (err error) {
-	if err = c.decoder.Decode(header); err != nil {
+	if err = c.decoder.Decode(header); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.cancel()
 	}
 	return err
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/rpc"
@@ -19,6 +20,8 @@
 	mu     sync.Mutex // guards what follows
 	open   map[net.Conn]bool
 	closed bool
+
+	serving sync.WaitGroup // counts connections
 }
 
 // Serve answers calls on an address until the server is closed. The handlers stand
@@ -54,6 +57,7 @@
 			return
 		}
 		go func() {
+			defer s.serving.Done()
 			methods.ServeCodec(newServerCodec(countedConn{conn}))
 			s.track(conn, false)
 		}()
@@ -67,12 +71,35 @@
 	defer s.mu.Unlock()
 	if open && !s.closed {
 		s.open[conn] = true
+		s.serving.Add(1)
 		return true
 	}
 	delete(s.open, conn)
 	return false
 }
 
+// Shutdown stops listening, reads no more calls and closes each connection once those that were read are
+// answered, or the context has ended.
+func (s *Server) Shutdown(ctx context.Context) {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.open {
+		_ = conn.SetReadDeadline(time.Now())
+	}
+	s.mu.Unlock()
+	answered := make(chan struct{})
+	go func() {
+		s.serving.Wait()
+		close(answered)
+	}()
+	select {
+	case <-answered:
+	case <-ctx.Done():
+	}
+	s.Close()
+}
+
 // Close stops listening and closes all connections.
 func (s *Server) Close() {
 	_ = s.listener.Close()
