--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/http"
+	"runtime"
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,8 +23,12 @@
 // Registry holds the figures of one daemon.
 type Registry struct{ registry *prometheus.Registry }
 
-// NewRegistry holds none.
-func NewRegistry() *Registry { return &Registry{prometheus.NewRegistry()} }
+// NewRegistry holds what is the same for every daemon: how many goroutines it has.
+func NewRegistry() (registry *Registry) {
+	registry = &Registry{prometheus.NewRegistry()}
+	registry.Gauge("goroutines", "Goroutines.", nil, func() float64 { return float64(runtime.NumGoroutine()) })
+	return registry
+}
 
 // Labels tell figures of one name apart.
 type Labels = prometheus.Labels
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,285 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// restartDelay lies between the end of a process and its next start.
+	restartDelay = 500 * time.Millisecond
+	// keptLines is how many of its log lines are kept of each process.
+	keptLines = 400
+	// programName is the program that the processes run.
+	programName = "tinpin"
+)
+
+// Life is one run of a process.
+type Life struct {
+	Started, Ended time.Duration
+	// Term and Kill are when it was sent that signal, 0 for never.
+	Term, Kill time.Duration
+	// Overdue tells that it was killed since its grace period was over.
+	Overdue bool
+	// Listening is when it said that its listeners are open, 0 for never.
+	Listening time.Duration
+	// ExitCode is -1 where a signal has ended it.
+	ExitCode int
+}
+
+// startedLine is what a daemon's log line has once its listeners are open.
+const startedLine = `"event":101,`
+
+// LogLine is a line that a process has written.
+type LogLine struct {
+	At   time.Duration
+	Text string
+}
+
+// Process is one daemon, through all its lives. It may be used by any goroutine.
+type Process struct {
+	Target  Target
+	program string
+	folder  string
+	log     *Log
+	grace   time.Duration
+
+	mu       sync.Mutex // guards what follows
+	settings map[string]any
+	lives    []*Life
+	command  *exec.Cmd
+	lines    []LogLine
+	// disturbed are the times of signals, of starts and of ends; frozen are the spans in
+	// which it stood still.
+	disturbed []time.Duration
+	frozen    []Span
+	ending    bool
+	done      chan struct{}
+}
+
+// writeSettings writes the settings file. The caller holds the lock.
+func (p *Process) writeSettings() (path string, err error) {
+	path = filepath.Join(p.folder, "settings.json")
+	text, err := json.Marshal(p.settings)
+	if err != nil {
+		return "", Class.Wrap(err)
+	}
+	if err = os.WriteFile(path+".new", text, 0o600); err != nil {
+		return "", Class.Wrap(err)
+	}
+	return path, Class.Wrap(os.Rename(path+".new", path))
+}
+
+// Start starts the next life.
+func (p *Process) Start() (err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ending {
+		return nil
+	}
+	path, err := p.writeSettings()
+	if err != nil {
+		return err
+	}
+	p.settings["first_start"] = false
+	command := exec.Command(p.program, string(p.Target.Role))
+	command.Env = append(os.Environ(), "TINPIN_CONFIG="+path)
+	// Its end is bound to this program's: nothing is left where this is killed.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return Class.Wrap(err)
+	}
+	command.Stderr = command.Stdout
+	if err = command.Start(); err != nil {
+		return Class.Wrap(err)
+	}
+	life := &Life{Started: p.log.Now()}
+	p.command, p.lives = command, append(p.lives, life)
+	p.disturbed = append(p.disturbed, life.Started)
+	p.done = make(chan struct{})
+	go p.watch(command, life, output, p.done)
+	return nil
+}
+
+// watch reads what a life writes, and waits for its end.
+func (p *Process) watch(command *exec.Cmd, life *Life, output io.Reader, done chan struct{}) {
+	lines := bufio.NewScanner(output)
+	for lines.Scan() {
+		p.mu.Lock()
+		if strings.Contains(lines.Text(), startedLine) {
+			life.Listening = p.log.Now()
+		}
+		if p.lines = append(p.lines, LogLine{p.log.Now(), lines.Text()}); len(p.lines) > 2*keptLines {
+			p.lines = append([]LogLine{}, p.lines[keptLines:]...)
+		}
+		p.mu.Unlock()
+	}
+	_ = command.Wait()
+	p.mu.Lock()
+	life.Ended, life.ExitCode = p.log.Now(), command.ProcessState.ExitCode()
+	p.disturbed = append(p.disturbed, life.Ended)
+	p.command = nil
+	again := !p.ending
+	p.mu.Unlock()
+	close(done)
+	if again {
+		time.AfterFunc(restartDelay, func() { _ = p.Start() })
+	}
+}
+
+// signal sends a signal to the life that runs, if note, which is called with it, wants
+// it so. It does nothing between two lives.
+func (p *Process) signal(signal syscall.Signal, note func(life *Life) (wanted bool)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil || !note(p.lives[len(p.lives)-1]) {
+		return
+	}
+	p.disturbed = append(p.disturbed, p.log.Now())
+	_ = p.command.Process.Signal(signal)
+}
+
+// always sends a signal that needs no note.
+func always(*Life) (wanted bool) { return true }
+
+// Term asks the process to stop, and kills it once its grace period is over.
+func (p *Process) Term() {
+	p.signal(syscall.SIGTERM, func(life *Life) (wanted bool) {
+		if life.Term > 0 {
+			return false
+		}
+		life.Term = p.log.Now()
+		time.AfterFunc(p.grace, func() { p.killOverdue(life) })
+		return true
+	})
+}
+
+// Again asks a process to stop that has been asked already.
+func (p *Process) Again() {
+	p.signal(syscall.SIGTERM, func(life *Life) (wanted bool) { return life.Term > 0 })
+}
+
+// killOverdue kills a life that has not ended in its grace period.
+func (p *Process) killOverdue(life *Life) {
+	p.signal(syscall.SIGKILL, func(current *Life) (wanted bool) {
+		if current != life || life.Kill > 0 {
+			return false
+		}
+		life.Kill, life.Overdue = p.log.Now(), true
+		return true
+	})
+}
+
+// Kill kills the process.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL, p.noteKill)
+}
+
+// noteKill notes that a life is killed.
+func (p *Process) noteKill(life *Life) (wanted bool) {
+	life.Kill = p.log.Now()
+	return true
+}
+
+// Freeze stops the process for a time.
+func (p *Process) Freeze(lasting time.Duration) {
+	p.signal(syscall.SIGSTOP, func(*Life) (wanted bool) {
+		now := p.log.Now()
+		p.frozen = append(p.frozen, Span{From: now, To: now + lasting + timerSlack, Process: p.Target})
+		return true
+	})
+	time.AfterFunc(lasting, func() { p.signal(syscall.SIGCONT, always) })
+}
+
+// HangUp writes the settings with the seeds in another order, and says so.
+func (p *Process) HangUp() {
+	p.mu.Lock()
+	if seeds := p.settings["seeds"].([]string); len(seeds) > 1 {
+		p.settings["seeds"] = append(append([]string{}, seeds[1:]...), seeds[0])
+	}
+	_, _ = p.writeSettings()
+	p.mu.Unlock()
+	p.signal(syscall.SIGHUP, always)
+}
+
+// End ends the process for good: with SIGTERM, and SIGKILL after wait. It returns
+// once the process is gone.
+func (p *Process) End(wait time.Duration) {
+	p.mu.Lock()
+	p.ending = true
+	done, running := p.done, p.command != nil
+	p.mu.Unlock()
+	if !running {
+		return
+	}
+	p.signal(syscall.SIGCONT, always)
+	p.signal(syscall.SIGTERM, func(life *Life) (wanted bool) {
+		life.Term = max(life.Term, p.log.Now())
+		return true
+	})
+	select {
+	case <-done:
+	case <-time.After(wait):
+		p.signal(syscall.SIGKILL, p.noteKill)
+		<-done
+	}
+}
+
+// PID is that of the life that runs, 0 between two.
+func (p *Process) PID() (pid int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
+// lifeAt is the life that ran at a time, nil where none did.
+func (p *Process) lifeAt(at time.Duration) (life *Life) {
+	for _, candidate := range p.lives {
+		if candidate.Started <= at && (candidate.Ended == 0 || at <= candidate.Ended) {
+			life = candidate
+		}
+	}
+	return life
+}
+
+// disturbedWithin tells that the process was signalled, started or has ended in a span.
+func (p *Process) disturbedWithin(from, to time.Duration) bool {
+	for _, at := range p.disturbed {
+		if from <= at && at <= to {
+			return true
+		}
+	}
+	return false
+}
+
+// frozenWithin tells that the process stood still in a part of a span.
+func (p *Process) frozenWithin(from, to time.Duration) bool {
+	for _, span := range p.frozen {
+		if span.From <= to && from <= span.To {
+			return true
+		}
+	}
+	return false
+}
+
+// linesWithin are the log lines of a span.
+func (p *Process) linesWithin(from, to time.Duration) (lines []LogLine) {
+	for _, line := range p.lines {
+		if from <= line.At && line.At <= to {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
