A connection ends no sooner than its client was told, and its first request is waited for

Two places of the same class: a reader that waited by an idle time-out from before a change of the configuration closed a connection whose client had been told the newer one; a connection opened right before the listener closed was closed before its first request. The wait for keys that are given back is bounded by a call's time, since without a leader nobody takes them. The daemon's last listeners close side by side.

--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -27,8 +27,10 @@
 	// openedAt, the last was.
 	unanswered atomic.Int64
 	answeredAt atomic.Int64
-	answers    answerWatch
-	idleWait   idleWait
+	// idleTime is the idle time-out that held when the last response was written.
+	idleTime atomic.Int64
+	answers  answerWatch
+	idleWait idleWait
 	// broken is set when no response can be written any more, closing when a response that
 	// closes the connection is about to be, evicted when it was closed for another's sake.
 	broken, closing, evicted atomic.Bool
@@ -184,26 +186,40 @@
 	defer client.idleWait.end()
 	for idleEnd := time.Now().Add(idleTime); ; {
 		_ = client.netConn.SetReadDeadline(idleEnd)
-		if r.mustEnd() {
-			// What asks for the end may have woken this reader before it set its deadline.
-			_ = client.netConn.SetReadDeadline(time.Now())
+		// What asks for the end may have woken this reader before it set its deadline.
+		if end, ends := r.endsAt(); ends {
+			_ = client.netConn.SetReadDeadline(end)
 		}
 		_, err = r.in.Peek(1)
-		if err == nil || !message.IsTimeout(err) || r.mustEnd() {
+		if err == nil || !message.IsTimeout(err) {
 			return err
 		}
 		now := time.Now()
-		if idleEnd = client.idleSince(now).Add(idleTime); !idleEnd.After(now) {
+		if end, ends := r.endsAt(); ends && !end.After(now) {
+			return err
+		}
+		// The client was told the idle time-out that held when it was answered.
+		idleFor := max(idleTime, time.Duration(client.idleTime.Load()))
+		if idleEnd = client.idleSince(now).Add(idleFor); !idleEnd.After(now) {
 			return err
 		}
 	}
 }
 
-// mustEnd tells that a connection ends now unless a request has arrived on it.
-func (r *requestReader) mustEnd() bool {
+// endsAt tells when a connection is to end unless a request arrives on it, if there is a reason other than
+// its being idle. One that has just been opened is given the time for its first request.
+func (r *requestReader) endsAt() (end time.Time, ends bool) {
 	client := r.client
-	return client.closing.Load() || client.evicted.Load() ||
-		r.server.closingIdle.Load() && client.unanswered.Load() == 0
+	if client.closing.Load() || client.evicted.Load() {
+		return client.openedAt, true
+	}
+	if !r.server.closingIdle.Load() || client.unanswered.Load() > 0 {
+		return end, false
+	}
+	if r.source.total == 0 {
+		return client.openedAt.Add(firstRequestTime), true
+	}
+	return client.openedAt, true
 }
 
 // readHead reads the head of a request. Without a head it returns nil, with no error kind
@@ -318,7 +334,9 @@
 	if response.Close {
 		client.closing.Store(true)
 	}
-	response.KeepAlive = s.view().Limits.IdleTimeout - idleMargin
+	idleTime := s.view().Limits.IdleTimeout
+	client.idleTime.Store(int64(idleTime))
+	response.KeepAlive = idleTime - idleMargin
 	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	buffer, complete := response.Write(conn, buffer, pending.http10)
 	if cap(buffer) > 64<<10 {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -21,6 +21,9 @@
 	// lingerTime is how long a closed connection is still read, so that the last response is
 	// not lost to a reset.
 	lingerTime = time.Second
+	// firstRequestTime is how long a connection that has just been opened may wait for its first request
+	// though the server drains: the client has had no other sign of it.
+	firstRequestTime = 250 * time.Millisecond
 	// bodyTimeout is the time to read the body of one request.
 	bodyTimeout = 10 * time.Second
 	// idleRecheck is how long an idle connection that timed out is looked at once more.
--- a/internal/proxy/claims.go
+++ b/internal/proxy/claims.go
@@ -200,13 +200,8 @@
 	return true
 }
 
-// AwaitReleases waits until the leader has acknowledged all keys that were given back; it returns false
-// where the context ends before.
-func (l *LeaderClient) AwaitReleases(ctx context.Context) (acknowledged bool) {
-	for len(l.nextReleases()) > 0 {
-		if !pause(ctx, releaseCheckInterval) {
-			return false
-		}
+// AwaitReleases waits until the leader has acknowledged all keys that were given back, or the context ends.
+func (l *LeaderClient) AwaitReleases(ctx context.Context) {
+	for len(l.nextReleases()) > 0 && pause(ctx, releaseCheckInterval) {
 	}
-	return true
 }
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"tinpin/internal/apierror"
@@ -52,12 +53,16 @@
 // to store, and keys to give back.
 func (n nodeShutdown) Drain(ctx context.Context) (drained bool) {
 	d := n.daemon
-	return d.frontend.Drain(ctx) && d.finishKeys(ctx)
+	drained = d.frontend.Drain(ctx)
+	d.finishKeys(ctx)
+	return drained
 }
 
 // finishKeys waits until responses are stored on peers and the keys of requests that have not run are
-// given back, or the context ends.
-func (d *Daemon) finishKeys(ctx context.Context) (finished bool) {
+// given back. It waits no longer than a call for that takes: without a leader nobody would take them.
+func (d *Daemon) finishKeys(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseCallTimeout)
+	defer cancel()
 	stored := make(chan struct{})
 	go func() {
 		d.storing.Wait()
@@ -65,9 +70,8 @@
 	}()
 	select {
 	case <-stored:
-		return d.leader.AwaitReleases(ctx)
+		d.leader.AwaitReleases(ctx)
 	case <-ctx.Done():
-		return false
 	}
 }
 
@@ -83,10 +87,12 @@
 func (n nodeShutdown) Close(ctx context.Context) {
 	d := n.daemon
 	d.frontend.CloseConns()
+	var closing sync.WaitGroup
 	for _, server := range d.httpServers {
-		httpapi.Shutdown(ctx, server)
+		closing.Go(func() { httpapi.Shutdown(ctx, server) })
 	}
-	d.rpcListener.Shutdown(ctx)
+	closing.Go(func() { d.rpcListener.Shutdown(ctx) })
+	closing.Wait()
 	close(d.leader.Done)
 }
 
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -241,3 +242,25 @@
 		t.Errorf("it took %v", took)
 	}
 }
+
+// A key that was given back right before the end is free again: the node waits for the leader to have it.
+func TestKeysAreGivenBackBeforeTheEnd(t *testing.T) {
+	backend := newFakeBackend(t, "i-1", func(_ int, r receivedRequest, conn net.Conn) bool {
+		_, err := io.WriteString(conn, strings.Replace(
+			responseText(503, r.ID, ""), "Content-Length", message.HeaderNotExecuted+": full\r\nContent-Length", 1))
+		return err == nil
+	})
+	d := newTestDaemon(t, backend)
+	coordinator := &fakeCoordinator{script: grantClaim}
+	connectToLeader(t, d, coordinator)
+	response := d.Handle(t.Context(), newKeyedRequest("a", "k"), "400")
+	if response.Status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d", response.Status)
+	}
+	nodeShutdown{d}.Drain(t.Context())
+	coordinator.mu.Lock()
+	defer coordinator.mu.Unlock()
+	if len(coordinator.released) == 0 {
+		t.Error("the key is still claimed")
+	}
+}
