SIGHUP during the start no longer ends a daemon

The soak tells what the threads of an overdue process do, and waits for a program to be loaded before it sends SIGHUP.

--- a/cmd/tinpin/daemon.go
+++ b/cmd/tinpin/daemon.go
@@ -39,6 +39,11 @@
 	if _, code, done := call.parse(role, newFlags(role), call.args, 0); done {
 		return code
 	}
+	// Signals count from here on: one that comes while the daemon starts is heeded once it has started,
+	// when it may have accepted connections already.
+	signals := make(chan os.Signal, signalQueue)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	p, err := loadSettings()
 	if err != nil {
 		return call.fail(err, exitUsage)
@@ -46,11 +51,6 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(p.MemoryMB) << 20 * heapTenths / 10)
 	log := eventlog.New(p.Name)
-	// Signals count from here on: one that comes while the daemon starts is heeded once it has started,
-	// when it may have accepted connections already.
-	signals := make(chan os.Signal, signalQueue)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	signal.Ignore(syscall.SIGPIPE)
 	running, err := start(p, log)
 	if err != nil {
 		return call.fail(err, exitFailure)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,7 +19,7 @@
 	// restartDelay lies between the end of a process and its next start.
 	restartDelay = 500 * time.Millisecond
 	// keptLines is how many of its log lines are kept of each process.
-	keptLines = 400
+	keptLines = 1000
 	// programName is the program that the processes run.
 	programName = "tinpin"
 )
@@ -168,17 +170,49 @@
 	p.signal(syscall.SIGTERM, func(life *Life) (wanted bool) { return life.Term > 0 })
 }
 
-// killOverdue kills a life that has not ended in its grace period.
+// dumpTime is how long a process that is overdue has to write the stacks of its goroutines.
+const dumpTime = 200 * time.Millisecond
+
+// killOverdue kills a life that has not ended in its grace period. What it is doing goes to its
+// log lines.
 func (p *Process) killOverdue(life *Life) {
-	p.signal(syscall.SIGKILL, func(current *Life) (wanted bool) {
+	time.AfterFunc(dumpTime, func() {
+		p.signal(syscall.SIGKILL, func(current *Life) (wanted bool) { return current == life })
+	})
+	p.signal(syscall.SIGQUIT, func(current *Life) (wanted bool) {
 		if current != life || life.Kill > 0 {
 			return false
 		}
 		life.Kill, life.Overdue = p.log.Now(), true
+		for _, thread := range threadsOf(p.command.Process.Pid) {
+			p.lines = append(p.lines, LogLine{life.Kill, "overdue thread " + thread})
+		}
 		return true
 	})
 }
 
+// threadsOf tells what the threads of a process are doing, as the kernel sees it.
+func threadsOf(pid int) (threads []string) {
+	folders, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", pid))
+	for _, folder := range folders {
+		text := filepath.Base(folder)
+		for _, name := range []string{"stat", "wchan", "syscall"} {
+			content, err := os.ReadFile(filepath.Join(folder, name))
+			if err != nil {
+				continue
+			}
+			if name == "stat" {
+				// The state is the first field behind the name in brackets.
+				_, behind, _ := strings.Cut(string(content), ") ")
+				content = []byte("state " + behind[:min(1, len(behind))])
+			}
+			text += ", " + strings.TrimSpace(string(content))
+		}
+		threads = append(threads, text)
+	}
+	return threads
+}
+
 // Kill kills the process.
 func (p *Process) Kill() {
 	p.signal(syscall.SIGKILL, p.noteKill)
@@ -208,9 +242,41 @@
 	}
 	_, _ = p.writeSettings()
 	p.mu.Unlock()
+	for range loadChecks {
+		if pid := p.PID(); pid == 0 || isLoaded(pid) {
+			break
+		}
+		time.Sleep(loadCheckInterval)
+	}
 	p.signal(syscall.SIGHUP, always)
 }
 
+const (
+	// loadCheckInterval and loadChecks bound the wait for a program that is being loaded.
+	loadCheckInterval = 5 * time.Millisecond
+	loadChecks        = 200
+)
+
+// isLoaded tells that a program runs and has decided about SIGHUP: while the kernel and the
+// linker load it, any signal ends it, and nothing it could do would change that.
+func isLoaded(pid int) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(string(text)) {
+		name, mask, _ := strings.Cut(strings.TrimSpace(line), ":")
+		if name != "SigIgn" && name != "SigCgt" {
+			continue
+		}
+		bits, err := strconv.ParseUint(strings.TrimSpace(mask), 16, 64)
+		if err == nil && bits&(1<<(syscall.SIGHUP-1)) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // End ends the process for good: with SIGTERM, and SIGKILL after wait. It returns
 // once the process is gone.
 func (p *Process) End(wait time.Duration) {
