--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -180,7 +180,7 @@
 		p.signal(syscall.SIGKILL, func(current *Life) (wanted bool) { return current == life })
 	})
 	p.signal(syscall.SIGQUIT, func(current *Life) (wanted bool) {
-		if current != life || life.Kill > 0 {
+		if current != life || life.Kill > 0 || hasExited(p.command.Process.Pid) {
 			return false
 		}
 		life.Kill, life.Overdue = p.log.Now(), true
@@ -191,6 +191,18 @@
 	})
 }
 
+// hasExited tells that a process has ended, though it may not be known here yet: on a full
+// machine the thread that waits for it may get its turn seconds later.
+func hasExited(pid int) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return true
+	}
+	// The state is the first field behind the name in brackets.
+	_, behind, _ := strings.Cut(string(text), ") ")
+	return strings.HasPrefix(behind, "Z") || strings.HasPrefix(behind, "X")
+}
+
 // threadsOf tells what the threads of a process are doing, as the kernel sees it.
 func threadsOf(pid int) (threads []string) {
 	folders, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", pid))
@@ -202,7 +214,6 @@
 				continue
 			}
 			if name == "stat" {
-				// The state is the first field behind the name in brackets.
 				_, behind, _ := strings.Cut(string(content), ") ")
 				content = []byte("state " + behind[:min(1, len(behind))])
 			}
