--- a/cmd/tinpin-local/main.go
+++ b/cmd/tinpin-local/main.go
@@ -46,11 +46,11 @@
 	if err = system.Ready(ctx); err != nil {
 		return err
 	}
-	status, signature, body, err := system.Request(ctx, 0, "GET", "/hello/world", "")
+	response, err := system.Request(ctx, 0, "GET", "/hello/world", "")
 	if err != nil {
 		return err
 	}
-	fmt.Printf("GET /hello/world -> %d, stamp %s: %s", status, signature, body)
+	fmt.Printf("GET /hello/world -> %d, stamp %s: %s", response.Status, response.Signature, response.Body)
 	if !stay {
 		return nil
 	}
--- a/internal/loadtest/path.go
+++ b/internal/loadtest/path.go
@@ -65,7 +65,8 @@
 		var times []time.Duration
 		for n := 0; n < requests+requests/10+1; n++ {
 			started := time.Now()
-			status, askErr := localcluster.RequestAs(ctx, address, http.MethodGet, "/hello/x", "", "")
+			call := localcluster.Call{Method: http.MethodGet, Path: "/hello/x"}
+			status, askErr := localcluster.RequestAs(ctx, address, call)
 			if askErr != nil || status != http.StatusOK {
 				return point, Class.New("%s: %d %v", route, status, askErr)
 			}
--- a/internal/localcluster/cluster_test.go
+++ b/internal/localcluster/cluster_test.go
@@ -22,24 +22,25 @@
 		t.Fatal(err)
 	}
 	defer cluster.Close()
-	if status, answer, callErr := cluster.Operator(ctx, "POST", "/-/Config.Update", InitialConfiguration); callErr != nil || status != 200 {
-		t.Fatal(status, answer, callErr)
-	}
+	mustOperate(ctx, t, cluster, "/-/Config.Update", InitialConfiguration)
 	if err = cluster.Ready(ctx); err != nil {
 		t.Fatal(err)
 	}
 	for edge := range 2 {
-		if status, signature, body, askErr := cluster.Request(ctx, edge, "GET", "/hello/you", ""); askErr != nil || status != 200 || signature == "" || !strings.Contains(body, "ran on") {
-			t.Fatal(status, signature, body, askErr)
+		response, askErr := cluster.Request(ctx, edge, "GET", "/hello/you", "")
+		if askErr != nil || response.Status != 200 || response.Signature == "" ||
+			!strings.Contains(response.Body, "ran on") {
+			t.Fatal(response, askErr)
 		}
 	}
-	_, first, body, err := cluster.Request(ctx, 0, "POST", "/pay/1", "k-1")
-	if err != nil || first == "" {
-		t.Fatal(body, err)
+	first, err := cluster.Request(ctx, 0, "POST", "/pay/1", "k-1")
+	if err != nil || first.Signature == "" {
+		t.Fatal(first, err)
 	}
 	// The repeat comes in at the other daemon and must not run again.
-	if _, again, body, askErr := cluster.Request(ctx, 1, "POST", "/pay/1", "k-1"); askErr != nil || again != first {
-		t.Fatalf("a repeat got %q %q, the first %q: %v", again, body, first, askErr)
+	again, err := cluster.Request(ctx, 1, "POST", "/pay/1", "k-1")
+	if err != nil || again.Signature != first.Signature {
+		t.Fatalf("a repeat got %+v, the first %+v: %v", again, first, err)
 	}
 	if status, _, _ := cluster.Operator(ctx, "POST", "/-/Config.Update", `{"upserts":`); status != 400 {
 		t.Fatalf("a call cut short got %d", status)
@@ -48,7 +49,7 @@
 	err = Until(ctx, func() bool {
 		before := cluster.Backends[0].Runs.Load()
 		for i := range 12 {
-			_, _, _, _ = cluster.Request(ctx, i%2, "GET", "/hello/you", "")
+			_, _ = cluster.Request(ctx, i%2, "GET", "/hello/you", "")
 		}
 		return cluster.Backends[0].Runs.Load() == before
 	})
@@ -64,7 +65,12 @@
 		}
 		out.Reset()
 	}
-	if err = Until(ctx, func() bool { inspect(); good, _ := fleet.Status(&out, false); return good && len(fleet.Nodes) == 2 }); err != nil {
+	err = Until(ctx, func() bool {
+		inspect()
+		good, _ := fleet.Status(&out, false)
+		return good && len(fleet.Nodes) == 2
+	})
+	if err != nil {
 		t.Fatal(out.String())
 	}
 	for _, want := range []string{"core-1", "edge-2", "hello", "ledger", "retry slack"} {
@@ -74,7 +80,8 @@
 	}
 	for _, subject := range [][2]string{{"item", "routes/r-pay"}, {"backend", "i-1"}} {
 		out.Reset()
-		if good, traceErr := fleet.Trace(&out, subject[0], subject[1]); traceErr != nil || !good || !strings.Contains(out.String(), "edge-1") {
+		good, traceErr := fleet.Trace(&out, subject[0], subject[1])
+		if traceErr != nil || !good || !strings.Contains(out.String(), "edge-1") {
 			t.Errorf("trace %v: %v %v\n%s", subject, good, traceErr, out.String())
 		}
 	}
@@ -83,25 +90,37 @@
 	}
 
 	cluster.StopController(fleet.Leader().Name)
-	if status, _, callErr := cluster.Operator(ctx, "POST", "/-/Evacuations.Start/elsewhere", ""); callErr != nil || status != 200 {
-		t.Fatal(status, callErr)
-	}
+	mustOperate(ctx, t, cluster, "/-/Evacuations.Start/elsewhere", "")
 	_, described, err := cluster.Operator(ctx, "GET", "/-/Config.Describe", "")
 	if err != nil || !strings.Contains(described, "r-pay") {
 		t.Fatalf("after the leader's end: %q %v", described, err)
 	}
-	if err = Until(ctx, func() bool { _, again, _, _ := cluster.Request(ctx, 0, "POST", "/pay/1", "k-1"); return again == first }); err != nil {
+	err = Until(ctx, func() bool {
+		repeated, _ := cluster.Request(ctx, 0, "POST", "/pay/1", "k-1")
+		return repeated.Signature == first.Signature
+	})
+	if err != nil {
 		t.Fatal("the key is forgotten")
 	}
 	if err = Until(ctx, func() bool {
 		inspect()
 		good, traceErr := fleet.Trace(&out, "evacuation", "elsewhere")
-		return traceErr == nil && !good && strings.Contains(out.String(), "unreachable") && !strings.Contains(out.String(), "lacks")
+		return traceErr == nil && !good && strings.Contains(out.String(), "unreachable") &&
+			!strings.Contains(out.String(), "lacks")
 	}); err != nil {
 		t.Fatalf("a daemon that is gone must be named:\n%s", out.String())
 	}
 }
 
+// mustOperate makes an operator's call that must be accepted.
+func mustOperate(ctx context.Context, t *testing.T, cluster *Cluster, path, body string) {
+	t.Helper()
+	status, answer, err := cluster.Operator(ctx, "POST", path, body)
+	if err != nil || status != 200 {
+		t.Fatal(path, status, answer, err)
+	}
+}
+
 // Clients send each key several times, to both edges at once, while the
 // leader is stopped and a backend drains: no key runs twice, and a success is
 // always the first run's.
@@ -114,9 +133,7 @@
 		t.Fatal(err)
 	}
 	defer cluster.Close()
-	if status, answer, callErr := cluster.Operator(ctx, "POST", "/-/Config.Update", InitialConfiguration); callErr != nil || status != 200 {
-		t.Fatal(status, answer, callErr)
-	}
+	mustOperate(ctx, t, cluster, "/-/Config.Update", InitialConfiguration)
 	if err = cluster.Ready(ctx); err != nil {
 		t.Fatal(err)
 	}
@@ -139,7 +156,8 @@
 					close(stop)
 				}
 				key := fmt.Sprint("k-", n%keys)
-				status, signature, _, askErr := cluster.Request(ctx, n%2, "POST", "/pay/x", key)
+				response, askErr := cluster.Request(ctx, n%2, "POST", "/pay/x", key)
+				status, signature := response.Status, response.Signature
 				mu.Lock()
 				if askErr == nil && status == 200 {
 					if signatures[key] == nil {
--- a/internal/localcluster/membership_test.go
+++ b/internal/localcluster/membership_test.go
@@ -73,7 +73,11 @@
 	}
 	for n := range cluster.ControllerSettings {
 		stop(n)
-		if err = Until(ctx, func() bool { members, voters := membersOf(cluster); return len(members) == 3 && voters == 3 }); err != nil {
+		err = Until(ctx, func() bool {
+			members, voters := membersOf(cluster)
+			return len(members) == 3 && voters == 3
+		})
+		if err != nil {
 			t.Fatal("a plain stop changed who votes")
 		}
 		startController(ctx, t, cluster, n)
--- a/internal/localcluster/retirement_test.go
+++ b/internal/localcluster/retirement_test.go
@@ -60,15 +60,17 @@
 		}
 		return out.String(), err
 	}
-	if _, err = runCommand("drain", "check", writeDocument(t, `{"version":1,"rules":[{"service":"nobody","notice":"0s","finish":"5s","keyed":"deadline","least_share":0}],"lost_touch":"2s","cut_off":"stop"}`)); err == nil || !strings.Contains(err.Error(), `unknown service "nobody"`) {
-		t.Fatal(err)
-	}
-	if _, err = runCommand("drain", "set", writeDocument(t, `{"version":3,"rules":[{"service":"*","notice":"100ms","finish":"5s","keyed":"deadline","least_share":0.5}],"lost_touch":"2s","cut_off":"stop"}`)); err != nil {
-		t.Fatal(err)
-	}
-	if _, err = runCommand("drain", "retire", "i-99"); err == nil || !strings.Contains(err.Error(), "not on the platform's list") {
+	document := `{"version":1,"rules":[{"service":"nobody","notice":"0s","finish":"5s",` +
+		`"keyed":"deadline","least_share":0}],"lost_touch":"2s","cut_off":"stop"}`
+	_, err = runCommand("drain", "check", writeDocument(t, document))
+	mustReject(t, err, `unknown service "nobody"`)
+	document = `{"version":3,"rules":[{"service":"*","notice":"100ms","finish":"5s",` +
+		`"keyed":"deadline","least_share":0.5}],"lost_touch":"2s","cut_off":"stop"}`
+	if _, err = runCommand("drain", "set", writeDocument(t, document)); err != nil {
 		t.Fatal(err)
 	}
+	_, err = runCommand("drain", "retire", "i-99")
+	mustReject(t, err, "not on the platform's list")
 	for _, backend := range cluster.Backends {
 		backend.WorkTime.Store(int64(15 * time.Millisecond))
 	}
@@ -86,7 +88,9 @@
 					return
 				default:
 				}
-				status, _, _, askErr := cluster.Request(ctx, client%2, "POST", "/pay/x", fmt.Sprintf("press-%d-%d", client, n))
+				key := fmt.Sprintf("press-%d-%d", client, n)
+				response, askErr := cluster.Request(ctx, client%2, "POST", "/pay/x", key)
+				status := response.Status
 				if askErr != nil {
 					status = -1
 				}
@@ -137,46 +141,69 @@
 			}
 		}
 	}
-	if _, err = runCommand("drain", "retire", "i-4"); err == nil || !strings.Contains(err.Error(), "the last of service") {
-		t.Fatal(err)
-	}
-	if output, showErr := runCommand("drain", "show"); showErr != nil || !strings.Contains(output, "i-3") || !strings.Contains(output, "version 3") {
+	_, err = runCommand("drain", "retire", "i-4")
+	mustReject(t, err, "the last of service")
+	output, showErr := runCommand("drain", "show")
+	if showErr != nil || !strings.Contains(output, "i-3") || !strings.Contains(output, "version 3") {
 		t.Fatal(output, showErr)
 	}
 	if fleet, err = diagnostics.Inspect(cluster.InternalAddresses()); err != nil {
 		t.Fatal(err)
 	}
 	out.Reset()
-	if _, err = fleet.Trace(&out, "retirement", "i-3"); err != nil || !strings.Contains(out.String(), "edge-2") || !strings.Contains(out.String(), "stopped") {
+	_, err = fleet.Trace(&out, "retirement", "i-3")
+	if err != nil || !strings.Contains(out.String(), "edge-2") || !strings.Contains(out.String(), "stopped") {
 		t.Fatal(err, out.String())
 	}
 	if _, err = runCommand("drain", "restore", "i-3"); err != nil {
 		t.Fatal(err)
 	}
 	if err = Until(ctx, func() bool {
-		_, _, _, _ = cluster.Request(ctx, 0, "POST", "/pay/y", fmt.Sprint("back-", time.Now().UnixNano()))
+		_, _ = cluster.Request(ctx, 0, "POST", "/pay/y", fmt.Sprint("back-", time.Now().UnixNano()))
 		return retired.Runs.Load() > before
 	}); err != nil {
 		t.Fatal("the backend that was taken back gets nothing")
 	}
-	plan := `{"version":%d,"step":1,"every":"1s","room":1,"targets":[{"host":"shop.example","time_zone":"UTC","spans":[{"from":"00:00","to":"12:00","weights":{"%s":1},"ramp":"0s"},{"from":"12:00","to":"24:00","weights":{"coast":1},"ramp":"0s"}]}]}`
-	if _, err = runCommand("plan", "set", writeDocument(t, fmt.Sprintf(plan, 1, "moon"))); err == nil || !strings.Contains(err.Error(), `unknown region "moon"`) {
-		t.Fatal(err)
-	}
+	plan := `{"version":%d,"step":1,"every":"1s","room":1,"targets":[{"host":"shop.example","time_zone":"UTC",` +
+		`"spans":[{"from":"00:00","to":"12:00","weights":{"%s":1},"ramp":"0s"},` +
+		`{"from":"12:00","to":"24:00","weights":{"coast":1},"ramp":"0s"}]}]}`
+	_, err = runCommand("plan", "set", writeDocument(t, fmt.Sprintf(plan, 1, "moon")))
+	mustReject(t, err, `unknown region "moon"`)
 	if _, err = runCommand("plan", "set", writeDocument(t, fmt.Sprintf(plan, 2, "coast"))); err != nil {
 		t.Fatal(err)
 	}
-	if err = Until(ctx, func() bool { output, _ := runCommand("plan", "show"); return strings.Contains(output, "coast:1000") }); err != nil {
+	err = Until(ctx, func() bool {
+		output, _ := runCommand("plan", "show")
+		return strings.Contains(output, "coast:1000")
+	})
+	if err != nil {
 		t.Fatal(out.String())
 	}
-	if _, err = runCommand("plan", "set", writeDocument(t, fmt.Sprintf(plan, 1, "coast"))); err == nil || !strings.Contains(err.Error(), "version 1 is not above 2") {
-		t.Fatal(err)
-	}
+	_, err = runCommand("plan", "set", writeDocument(t, fmt.Sprintf(plan, 1, "coast")))
+	mustReject(t, err, "version 1 is not above 2")
 	if _, err = runCommand("plan", "withdraw", "3"); err != nil {
 		t.Fatal(err)
 	}
-	if status, _, _, askErr := cluster.Request(ctx, 1, "GET", "/hello/you", ""); askErr != nil || status != 200 {
-		t.Fatal(status, askErr)
+	if response, askErr := cluster.Request(ctx, 1, "GET", "/hello/you", ""); askErr != nil || response.Status != 200 {
+		t.Fatal(response, askErr)
+	}
+}
+
+// mustReject checks that a command was rejected for a reason.
+func mustReject(t *testing.T, err error, reason string) {
+	t.Helper()
+	if err == nil || !strings.Contains(err.Error(), reason) {
+		t.Fatalf("got %v, want a rejection with %q", err, reason)
+	}
+}
+
+// mustContain checks that an output has all that it must.
+func mustContain(t *testing.T, output string, err error, texts ...string) {
+	t.Helper()
+	for _, text := range texts {
+		if err != nil || !strings.Contains(output, text) {
+			t.Fatalf("%q is missing: %v\n%s", text, err, output)
+		}
 	}
 }
 
@@ -193,31 +220,30 @@
 	if cluster.IsReady(0) {
 		t.Fatal("ready before there is a configuration")
 	}
-	call := strings.Replace(InitialConfiguration, `["r-pay"`, `["r-file","shop.example","/file/","download","2s","500ms",2,"hello",1],["r-pay"`, 1)
-	if status, answer, callErr := cluster.Operator(ctx, "POST", "/-/Config.Update", call); callErr != nil || status != 200 {
-		t.Fatal(status, answer, callErr)
-	}
+	file := `["r-file","shop.example","/file/","download","2s","500ms",2,"hello",1],`
+	call := strings.Replace(InitialConfiguration, `["r-pay"`, file+`["r-pay"`, 1)
+	mustOperate(ctx, t, cluster, "/-/Config.Update", call)
 	if err = cluster.Ready(ctx); err != nil {
 		t.Fatal(err)
 	}
 	for _, path := range []string{"/hello/you", "/file/one"} {
-		if status, _, _, askErr := cluster.Request(ctx, 1, "GET", path, ""); askErr != nil || status != 200 {
-			t.Fatal(path, status, askErr)
+		if response, askErr := cluster.Request(ctx, 1, "GET", path, ""); askErr != nil || response.Status != 200 {
+			t.Fatal(path, response, askErr)
 		}
 	}
 	done := cluster.StopProxy("edge-1")
 	if err = Until(ctx, func() bool { return !cluster.IsReady(0) }); err != nil {
 		t.Fatal("still ready after the order to stop")
 	}
-	if status, _, _, askErr := cluster.Request(ctx, 0, "GET", "/hello/late", ""); askErr != nil || status != 200 {
-		t.Fatal("a client that the platform still sends here was turned away", status, askErr)
+	if response, askErr := cluster.Request(ctx, 0, "GET", "/hello/late", ""); askErr != nil || response.Status != 200 {
+		t.Fatal("a client that the platform still sends here was turned away", response, askErr)
 	}
 	select {
 	case <-done:
 	case <-ctx.Done():
 		t.Fatal("the daemon does not end")
 	}
-	if status, _, _, askErr := cluster.Request(ctx, 1, "GET", "/hello/you", ""); askErr != nil || status != 200 {
-		t.Fatal(status, askErr)
+	if response, askErr := cluster.Request(ctx, 1, "GET", "/hello/you", ""); askErr != nil || response.Status != 200 {
+		t.Fatal(response, askErr)
 	}
 }
--- a/internal/localcluster/sessions_test.go
+++ b/internal/localcluster/sessions_test.go
@@ -13,8 +13,11 @@
 	"tinpin/internal/diagnostics"
 )
 
+// commandRunner runs a command of the operator's tool and gives its output.
+type commandRunner func(subject, verb string, words ...string) (output string, err error)
+
 // startWithOperator has a whole system and the operator's desk ready for a test.
-func startWithOperator(t *testing.T) (ctx context.Context, cluster *Cluster, runCommand func(subject, verb string, words ...string) (output string, err error)) {
+func startWithOperator(t *testing.T) (ctx context.Context, cluster *Cluster, runCommand commandRunner) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	t.Cleanup(cancel)
@@ -77,7 +80,10 @@
 					return
 				default:
 				}
-				status, err := RequestAs(ctx, c.address(session+step), "POST", "/pay/x", fmt.Sprintf("k-%d-%d", session, step), fmt.Sprint("caller-", session))
+				status, err := RequestAs(ctx, c.address(session+step), Call{
+					Method: "POST", Path: "/pay/x", Key: fmt.Sprintf("k-%d-%d", session, step),
+					Session: fmt.Sprint("caller-", session),
+				})
 				if err != nil {
 					status = -1
 				}
@@ -93,10 +99,10 @@
 // is stopped, while callers are partway through their sessions.
 func TestSessionsStayWhileNodesComeAndGo(t *testing.T) {
 	ctx, cluster, runCommand := startWithOperator(t)
-	policy := `{"version":%d,"rules":[{"service":"%s","from":"header","name":"X-Caller","idle":"1m","alone":"refuse","most":%d}]}`
-	if _, err := runCommand("affinity", "check", writeDocument(t, fmt.Sprintf(policy, 1, "nobody", 100))); err == nil || !strings.Contains(err.Error(), `unknown service "nobody"`) {
-		t.Fatal(err)
-	}
+	policy := `{"version":%d,"rules":[{"service":"%s","from":"header","name":"X-Caller","idle":"1m",` +
+		`"alone":"refuse","most":%d}]}`
+	_, err := runCommand("affinity", "check", writeDocument(t, fmt.Sprintf(policy, 1, "nobody", 100)))
+	mustReject(t, err, `unknown service "nobody"`)
 	if _, err := runCommand("affinity", "set", writeDocument(t, fmt.Sprintf(policy, 1, "ledger", 100))); err != nil {
 		t.Fatal(err)
 	}
@@ -124,7 +130,8 @@
 	if err := Until(ctx, func() bool { return cluster.IsReady(2) }); err != nil {
 		t.Fatal(err)
 	}
-	load.use(cluster.ProxySettings[0].FrontendAddress, cluster.ProxySettings[1].FrontendAddress, cluster.ProxySettings[2].FrontendAddress)
+	edges := cluster.ProxySettings
+	load.use(edges[0].FrontendAddress, edges[1].FrontendAddress, edges[2].FrontendAddress)
 	more(60)
 	fleet, err := diagnostics.Inspect(cluster.InternalAddresses())
 	if err != nil {
@@ -188,7 +195,8 @@
 // limit, counted at its backends; after it recovers, new calls go through.
 func TestRetryLimitOnLocalCluster(t *testing.T) {
 	ctx, cluster, runCommand := startWithOperator(t)
-	if _, err := runCommand("retry", "set", writeDocument(t, `{"version":1,"rules":[{"service":"hello","ratio":0.05,"least_per_s":0,"window":"10s"}]}`)); err != nil {
+	limit := `{"version":1,"rules":[{"service":"hello","ratio":%v,"least_per_s":0,"window":"10s"}]}`
+	if _, err := runCommand("retry", "set", writeDocument(t, fmt.Sprintf(limit, 0.05))); err != nil {
 		t.Fatal(err)
 	}
 	if err := Until(ctx, func() bool { return followedByAll(t, cluster, "retry-limit") }); err != nil {
@@ -204,7 +212,8 @@
 		go func() {
 			defer load.Done()
 			for n := 0; n < 60; n++ {
-				_, _ = RequestAs(ctx, cluster.ProxySettings[client%2].FrontendAddress, "GET", "/hello/x", "", "")
+				address := cluster.ProxySettings[client%2].FrontendAddress
+				_, _ = RequestAs(ctx, address, Call{Method: "GET", Path: "/hello/x"})
 			}
 		}()
 	}
@@ -224,16 +233,14 @@
 	}
 	started := time.Now()
 	if err := Until(ctx, func() bool {
-		status, _, _, err := cluster.Request(ctx, 0, "GET", "/hello/y", "")
+		response, err := cluster.Request(ctx, 0, "GET", "/hello/y", "")
+		status := response.Status
 		return err == nil && status == 200
 	}); err != nil || time.Since(started) > 5*time.Second {
 		t.Errorf("new calls go through after %s: %v", time.Since(started), err)
 	}
 	output, err := runCommand("retry", "show")
-	if err != nil || !strings.Contains(output, "hello") || !strings.Contains(output, "2 of 2 follow") || !strings.Contains(output, "holds") {
-		t.Error(output, err)
-	}
-	if _, err = runCommand("retry", "set", writeDocument(t, `{"version":1,"rules":[{"service":"hello","ratio":0.5,"least_per_s":0,"window":"10s"}]}`)); err == nil || !strings.Contains(err.Error(), "version 1 is not above 1") {
-		t.Error(err)
-	}
+	mustContain(t, output, err, "hello", "2 of 2 follow", "holds")
+	_, err = runCommand("retry", "set", writeDocument(t, fmt.Sprintf(limit, 0.5)))
+	mustReject(t, err, "version 1 is not above 1")
 }
