--- a/cmd/tinpin-faulttest/main_test.go
+++ b/cmd/tinpin-faulttest/main_test.go
@@ -9,7 +9,7 @@
 func TestFlags(t *testing.T) {
 	for line, c := range map[string]struct {
 		code int
-		says string
+		want string
 	}{
 		"-help":            {0, "tinpin-faulttest accounts"},
 		"-rounds 0":        {2, "rounds: 0"},
@@ -28,7 +28,7 @@
 		"-rounds 5 more":   {2, `what is "more"?`},
 	} {
 		var out, bad bytes.Buffer
-		if code := run(strings.Fields(line), &out, &bad); code != c.code || !strings.Contains(out.String()+bad.String(), c.says) {
+		if code := run(strings.Fields(line), &out, &bad); code != c.code || !strings.Contains(out.String()+bad.String(), c.want) {
 			t.Errorf("%s: %d %s%s", line, code, out.String(), bad.String())
 		}
 	}
--- a/internal/drain/sim_test.go
+++ b/internal/drain/sim_test.go
@@ -170,7 +170,7 @@
 	}
 	for _, status := range statuses {
 		id := rpc.EndpointID(status.Backend)
-		if _, told := s.complete[id]; !told && status.Phase == Complete {
+		if _, known := s.complete[id]; !known && status.Phase == Complete {
 			s.complete[id] = s.now
 		}
 	}
@@ -197,7 +197,7 @@
 		if s.ended[id] {
 			continue
 		}
-		if at, told := s.complete[id]; told {
+		if at, known := s.complete[id]; known {
 			// Who was heard by the leader since then follows; who was not has its
 			// bound, with a second for the turn of its own duty.
 			if d.heartbeatAt > at || s.now > at+simLost+time.Second {
--- a/internal/healthcheck/outlier_test.go
+++ b/internal/healthcheck/outlier_test.go
@@ -94,8 +94,8 @@
 		}
 		return 0
 	})
-	if most := int(maxEjectedPart * float64(h.size)); len(h.ejected) > most {
-		t.Fatalf("%d are ejected, the limit is %d", len(h.ejected), most)
+	if maxEjected := int(maxEjectedPart * float64(h.size)); len(h.ejected) > maxEjected {
+		t.Fatalf("%d are ejected, the limit is %d", len(h.ejected), maxEjected)
 	}
 }
 
--- a/internal/healthcheck/sim_test.go
+++ b/internal/healthcheck/sim_test.go
@@ -189,8 +189,8 @@
 	}
 	bound := (TakeoverDelay + simInterval) + TakeoverDelay + 700*time.Millisecond + 2200*time.Millisecond
 	for _, service := range f.services {
-		if silence := f.now - f.probed[service]; silence > bound && f.violation == "" {
-			f.violation = fmt.Sprintf("at %v: %s was not probed for %v", f.now, service, silence)
+		if gap := f.now - f.probed[service]; gap > bound && f.violation == "" {
+			f.violation = fmt.Sprintf("at %v: %s was not probed for %v", f.now, service, gap)
 		}
 	}
 }
--- a/internal/idempotency/sim_test.go
+++ b/internal/idempotency/sim_test.go
@@ -44,8 +44,8 @@
 	served  int
 }
 
-func (s *simulation) later(most int, do func()) {
-	s.actions = append(s.actions, simAction{s.now + time.Duration(s.random.Intn(most)+1)*time.Millisecond, do})
+func (s *simulation) later(maxDelay int, do func()) {
+	s.actions = append(s.actions, simAction{s.now + time.Duration(s.random.Intn(maxDelay)+1)*time.Millisecond, do})
 }
 
 func (s *simulation) apply(kind statemachine.CommandKind, claim statemachine.Claim) statemachine.Result {
--- a/internal/quota/allocator_test.go
+++ b/internal/quota/allocator_test.go
@@ -28,13 +28,13 @@
 		}
 		sum := 0.0
 		for _, grants := range allocator.limits[key].holders {
-			most := 0.0
+			largest := 0.0
 			for _, grant := range grants {
 				if grant.until > now {
-					most = max(most, grant.amount)
+					largest = max(largest, grant.amount)
 				}
 			}
-			sum += most
+			sum += largest
 		}
 		if granted := allocator.Granted(now, key); math.Abs(granted-sum) > 1e-9 {
 			t.Fatalf("at %s %.6f is granted, the allocator says %.6f", now, sum, granted)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -15,7 +15,7 @@
 func TestLeasesNeverSumPastTheLimit(t *testing.T) {
 	const span, window = 1600 * time.Millisecond, time.Second
 	key := Key{rpc.WarmupRate, "b"}
-	most := 0.0
+	largest := 0.0
 	for seed := int64(1); seed <= 40; seed++ {
 		random := rand.New(rand.NewSource(seed))
 		limit := 5 + 20*random.Float64()
@@ -59,7 +59,7 @@
 			if sum > limit+1e-9 {
 				t.Fatalf("seed %d at %v: %.2f in use of %.2f", seed, now, sum, limit)
 			}
-			most = max(most, sum/limit)
+			largest = max(largest, sum/limit)
 			// Each holder uses its whole share once in a window at most.
 			if random.Intn(4) == 0 {
 				shares := holders[id]
@@ -67,8 +67,8 @@
 			}
 		}
 	}
-	if most < 0.5 {
-		t.Fatalf("never more than %.2f of a limit was in use: the test proves nothing", most)
+	if largest < 0.5 {
+		t.Fatalf("never more than %.2f of a limit was in use: the test proves nothing", largest)
 	}
 }
 
--- a/internal/quota/tenants_test.go
+++ b/internal/quota/tenants_test.go
@@ -20,7 +20,7 @@
 	log       map[string][]time.Duration
 	refused   map[string]int
 	bug       injectedBug
-	most      float64 // the most of a limit that was ever in use at once
+	maxInUse  float64 // the most of a limit that was ever in use at once
 }
 
 type injectedBug struct {
@@ -105,7 +105,7 @@
 		for _, e := range f.nodes {
 			sum += e.part(f.now, tenant.Name)
 		}
-		f.most = max(f.most, sum)
+		f.maxInUse = max(f.maxInUse, sum)
 	}
 }
 
@@ -185,8 +185,8 @@
 		f, noisy, quiet := runFaults(seed, injectedBug{})
 		f.check(t, noisy)
 		f.check(t, quiet)
-		if f.most > 1+1e-9 {
-			t.Fatalf("seed %d: %.3f of a limit was in use at once", seed, f.most)
+		if f.maxInUse > 1+1e-9 {
+			t.Fatalf("seed %d: %.3f of a limit was in use at once", seed, f.maxInUse)
 		}
 		admitted += float64(len(f.log["noisy"]))
 		possible += noisy.Rate * 60
@@ -202,7 +202,7 @@
 		found := false
 		for seed := int64(1); seed <= 30 && !found; seed++ {
 			f, noisy, _ := runFaults(seed, fault)
-			found = f.worst(noisy) > noisy.Burst+1e-6 || f.most > 1+1e-9
+			found = f.worst(noisy) > noisy.Burst+1e-6 || f.maxInUse > 1+1e-9
 		}
 		if !found {
 			t.Errorf("%s was not found by any seed", name)
@@ -235,13 +235,13 @@
 		}
 		return len(f.log["quiet"]), f.refused["quiet"]
 	}
-	calmAdmitted, calmRefused := run(false)
+	baselineAdmitted, baselineRefused := run(false)
 	admitted, refused := run(true)
-	if refused > calmRefused || admitted < calmAdmitted {
-		t.Fatalf("a surge changed another tenant's service: admitted %d/%d, refused %d/%d", calmAdmitted, admitted, calmRefused, refused)
+	if refused > baselineRefused || admitted < baselineAdmitted {
+		t.Fatalf("a surge changed another tenant's service: admitted %d/%d, refused %d/%d", baselineAdmitted, admitted, baselineRefused, refused)
 	}
-	if calmRefused > calmAdmitted/50 {
-		t.Fatalf("a tenant well within its limit was refused %d times of %d", calmRefused, calmAdmitted)
+	if baselineRefused > baselineAdmitted/50 {
+		t.Fatalf("a tenant well within its limit was refused %d times of %d", baselineRefused, baselineAdmitted)
 	}
 }
 
--- a/internal/retry/sim_test.go
+++ b/internal/retry/sim_test.go
@@ -190,11 +190,11 @@
 }
 
 // maxExcess is the most by which a window between two times passes the limit.
-func (c *simulation) maxExcess(from, upto time.Duration, ratio, least float64) (worst float64) {
+func (c *simulation) maxExcess(from, upto time.Duration, ratio, minPerSecond float64) (worst float64) {
 	window := 10 * time.Second
-	count := func(times []time.Duration, after, till time.Duration) (n float64) {
+	count := func(times []time.Duration, after, until time.Duration) (n float64) {
 		lo := sort.Search(len(times), func(i int) bool { return times[i] > after })
-		hi := sort.Search(len(times), func(i int) bool { return times[i] > till })
+		hi := sort.Search(len(times), func(i int) bool { return times[i] > until })
 		return float64(hi - lo)
 	}
 	worst = -1e9
@@ -202,7 +202,7 @@
 		if at-window < from || at > upto {
 			continue
 		}
-		worst = max(worst, count(c.retries, at-window, at)-ratio*count(c.firstAttempts, at-window-window/8, at)-least*window.Seconds())
+		worst = max(worst, count(c.retries, at-window, at)-ratio*count(c.firstAttempts, at-window-window/8, at)-minPerSecond*window.Seconds())
 	}
 	return worst
 }
