The directory names no foreign region beside a home, however few nodes are left

Cause: an answer of fewer than two addresses was filled up from any region, also for hosts whose keyed routes are bound to some.

Change: such nodes are named only where there is no other at all. Where every home is stopping, those are named: they are back sooner than a client may go abroad.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,7 +7,8 @@
 // Small zones are filled up from other zones. Where a host's keyed routes are
 // bound to some regions, clients from elsewhere are sent to nodes of those
 // regions: the requests have to go there anyhow, and only there may their
-// responses be stored for a repeat.
+// responses be stored for a repeat. A node of a region that is neither one of
+// those nor the client's is named only where there is no other at all.
 package directory
 
 import (
@@ -58,6 +59,8 @@
 	nearest = iota
 	sameRegion
 	elsewhere
+	// foreign is a region that is neither allowed nor the client's.
+	foreign
 	distances
 )
 
@@ -74,12 +77,29 @@
 	if drawn := query.drawRegion(); drawn != "" && drawn != query.Region {
 		query.Region, query.Zone = drawn, ""
 	}
-	if addresses = query.answerFrom(query.candidates(false)); len(addresses) == 0 {
-		addresses = query.answerFrom(query.candidates(true))
+	usable := query.candidates(reachable)
+	if addresses = query.answerFrom(usable); len(addresses) > 0 {
+		return addresses
 	}
-	return addresses
+	// A node that is stopping in an allowed region is back sooner than a client may go to a foreign one.
+	if query.isBound() {
+		if addresses = query.answerFrom(query.candidates(stopping)); len(addresses) > 0 {
+			return addresses
+		}
+	}
+	if addresses = pick(usable[foreign], query.Client, maxNearest); len(addresses) > 0 {
+		return addresses
+	}
+	absent := query.candidates(unreachable)
+	if addresses = query.answerFrom(absent); len(addresses) > 0 {
+		return addresses
+	}
+	return pick(absent[foreign], query.Client, maxNearest)
 }
 
+// isBound reports whether the host's keyed routes are bound to some regions.
+func (q *Query) isBound() bool { return len(q.AllowedRegions) > 0 }
+
 // redirected reports whether the client's region is not an allowed one.
 func (q *Query) redirected() bool {
 	return !config.AllowsRegion(q.AllowedRegions, q.Region)
@@ -95,6 +115,8 @@
 		return nearest
 	case string(node.Region) == q.Region:
 		return sameRegion
+	case q.isBound() && !config.AllowsRegion(q.AllowedRegions, string(node.Region)):
+		return foreign
 	}
 	return elsewhere
 }
@@ -102,11 +124,31 @@
 // usable reports whether a node may be named at all.
 func usable(node *rpc.Node) bool { return node.Ready && !node.Stopping && node.FrontendAddress != "" }
 
-// candidates sorts the usable nodes by distance: those that the leader hears,
-// or only those that it does not hear.
-func (q *Query) candidates(absent bool) (byDistance [distances][]candidate) {
+// standing is how a node may be known: usable and heard by the leader, usable and not
+// heard, or heard and stopping.
+type standing uint8
+
+const (
+	reachable standing = iota
+	unreachable
+	stopping
+)
+
+// has reports whether a node is known so.
+func (s standing) has(node *rpc.Node, absent bool) bool {
+	switch s {
+	case reachable:
+		return usable(node) && !absent
+	case unreachable:
+		return usable(node) && absent
+	}
+	return node.Stopping && node.FrontendAddress != "" && !absent
+}
+
+// candidates sorts the nodes of some standing by distance.
+func (q *Query) candidates(wanted standing) (byDistance [distances][]candidate) {
 	for id, node := range q.Nodes {
-		if !usable(&node) || q.Absent[id] != absent {
+		if !wanted.has(&node, q.Absent[id]) {
 			continue
 		}
 		distance := q.distance(&node)
