Review, case 2: uploads in chunks take a proxy over its memory (Fault)

Bodies with a length reserve their bytes before they are read, those in chunks do not. 60 clients that upload 5 MiB each in chunks fit two proxies; while one zone is without power the other's proxy goes over memory_mb and is killed, again and again.

--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -21,13 +21,15 @@
 	chunkPause   = 16 * time.Millisecond
 	// chunkedClients are the clients of two zones.
 	chunkedClients = 60
-	rollRounds     = 4
+	lossRounds     = 3
+	// lossTime is how long a zone is without power.
+	lossTime = 5500 * time.Millisecond
 	// returnTime is how long a proxy may take to be ready again after its end.
 	returnTime = 15 * time.Second
 	quietTime  = 30 * time.Second
 )
 
-// playBodies has clients upload in chunks while the two proxies are stopped and started in turn. The platform kills
+// playBodies has clients upload in chunks while their two zones lose power in turn. The platform kills
 // a process that takes more than its memory.
 func playBodies(log *record, trouble bool) (broken []string, err error) {
 	s, err := newSystem(log, 2, 8)
@@ -51,8 +53,8 @@
 		})
 	}
 	if trouble {
-		for n := range rollRounds * len(s.proxies) {
-			if err = s.roll(n % len(s.proxies)); err != nil {
+		for n := range lossRounds * len(s.proxies) {
+			if err = s.loseZone(n % len(s.proxies)); err != nil {
 				return nil, err
 			}
 		}
@@ -65,16 +67,16 @@
 	return over.broken(), nil
 }
 
-// roll stops a proxy with SIGTERM; the platform starts it again.
-func (s *system) roll(n int) (err error) {
+// loseZone has a proxy's zone lose its power for a time.
+func (s *system) loseZone(n int) (err error) {
 	for i := range s.proxies {
 		if err = s.awaitReady(i, returnTime); err != nil {
 			return err
 		}
 	}
 	time.Sleep(contact)
-	s.proxies[n].signal(syscall.SIGTERM)
-	time.Sleep(grace)
+	s.proxies[n].powerOff(lossTime)
+	time.Sleep(lossTime)
 	return s.awaitReady(n, returnTime)
 }
 
@@ -138,7 +140,7 @@
 func (s *system) resolve() (address string) {
 	for _, i := range rand.Perm(len(s.proxies)) {
 		response, err := s.operator.Get("http://" + s.host(20+i) + ":18164/-/resolve?name=" + hostName + "&region=" + region +
-			"&zone=" + zoneA)
+			"&zone=" + proxyZoneA)
 		if err != nil {
 			continue
 		}
--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -27,9 +27,10 @@
 	mu      sync.Mutex // guards what follows
 	command *exec.Cmd
 	ended   chan struct{}
-	// starts counts lives; closing keeps the platform from starting another.
-	starts  int
-	closing bool
+	// starts counts lives; closing keeps the platform from starting another, and darkUntil does so for a time.
+	starts    int
+	closing   bool
+	darkUntil time.Time
 }
 
 // start begins a life, with the settings of this moment.
@@ -84,8 +85,17 @@
 	d.mu.Lock()
 	d.command = nil
 	close(d.ended)
+	wait := max(restartDelay, time.Until(d.darkUntil))
 	d.mu.Unlock()
-	time.AfterFunc(restartDelay, func() { _ = d.start() })
+	time.AfterFunc(wait, func() { _ = d.start() })
+}
+
+// powerOff has the machine lose its power for a time.
+func (d *daemon) powerOff(lasting time.Duration) {
+	d.mu.Lock()
+	d.darkUntil = time.Now().Add(lasting)
+	d.mu.Unlock()
+	d.signal(syscall.SIGKILL)
 }
 
 // signal sends a signal to the life that runs.
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -19,6 +19,9 @@
 	region   = "toledo"
 	zoneA    = "toledo-a"
 	zoneB    = "toledo-b"
+	// The proxies stand in zones without controllers and backends.
+	proxyZoneA = "toledo-c"
+	proxyZoneB = "toledo-d"
 	// memoryMB is what a process may take, by the small sites.
 	memoryMB = 284
 
@@ -66,7 +69,7 @@
 	}
 	for i := range proxies {
 		name, host := fmt.Sprintf("edge-%d", i+1), s.host(20+i)
-		settings := s.settings(name, host, []string{zoneA, zoneB}[i%2])
+		settings := s.settings(name, host, []string{proxyZoneA, proxyZoneB}[i%2])
 		settings["listen"] = map[string]string{
 			"frontend": s.frontend(i), "readiness": host + ":18167", "directory_endpoint": host + ":18164",
 		}
@@ -94,8 +97,10 @@
 func (s *system) settings(name, host, zone string) map[string]any {
 	return map[string]any{
 		"name": name, "address": host, "zone": zone, "region": region,
-		"zone_regions": map[string]string{zoneA: region, zoneB: region},
-		"first_start":  true, "internal_ports": []int{17720, 17735}, "data_directory": "",
+		"zone_regions": map[string]string{
+			zoneA: region, zoneB: region, proxyZoneA: region, proxyZoneB: region,
+		},
+		"first_start": true, "internal_ports": []int{17720, 17735}, "data_directory": "",
 		"seeds":     []string{s.control(0), s.control(1), s.control(2)},
 		"memory_mb": memoryMB, "max_file_descriptors": 4100, "metrics_address": host + ":19464",
 		"platform":      map[string]any{"address": s.host(5) + ":18169", "rate_per_s": 52},
