--- a/review/3/run.sh
+++ b/review/4/run.sh
@@ -6,4 +6,4 @@
 	echo "not built"
 	exit 2
 fi
-exec target/review-standin limits review/3/record.txt
+exec target/review-standin limits review/4/record.txt
