--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"uploads": playUploads,
 	"bodies":  playBodies,
 	"limits":  playLimits,
+	"leader":  playLeader,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -165,8 +165,13 @@
 
 // order sends a configuration until it is acknowledged.
 func (s *system) order(body string, limit time.Duration) (err error) {
+	return s.orderFrom(0, body, limit)
+}
+
+// orderFrom is order that begins with one of the controllers.
+func (s *system) orderFrom(first int, body string, limit time.Duration) (err error) {
 	err = errors.New("no answer")
-	for end, n := time.Now().Add(limit), 0; time.Now().Before(end); n++ {
+	for end, n := time.Now().Add(limit), first; time.Now().Before(end); n++ {
 		status := s.post(s.control(n%3), "/-/Config.Update", body)
 		s.record.write("configuration sent to %s: %d", s.control(n%3), status)
 		if status == http.StatusOK {
