Sight: calls that wait for a connection, failed dials, and a lost leader are shown

Change: event 139 when a search for the leader begins, with the time since it was heard; tinpin_leader_silence_seconds, tinpin_peer_dials_total, tinpin_peer_dials_failed_total and tinpin_peer_calls_connecting. No change of behaviour.

--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -1,6 +1,9 @@
 package controller
 
-import "tinpin/internal/metrics"
+import (
+	"tinpin/internal/metrics"
+	"tinpin/internal/rpc"
+)
 
 // metrics are the figures of this controller.
 func (c *Controller) metrics() *metrics.Registry {
@@ -17,5 +20,6 @@
 	})
 	registry.Counter("proposals_dropped_total",
 		"Proposals not put into the log because their callers had left or given up.", nil, c.node.DroppedProposals())
+	rpc.RegisterMetrics(registry)
 	return registry
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -54,6 +54,7 @@
 	MetricsNotServed
 	ShutdownPhase
 	SignalIgnored
+	LeaderLost
 )
 
 // Entry is the fixed part of an event's log line.
@@ -108,6 +109,7 @@
 	MetricsNotServed:        {"figures not served", warn},
 	ShutdownPhase:           {"shutdown phase ended", info},
 	SignalIgnored:           {"signal ignored during shutdown", info},
+	LeaderLost:              {"leader lost, search begins", warn},
 }
 
 // Logger writes numbered events.
--- a/internal/proxy/leader_client.go
+++ b/internal/proxy/leader_client.go
@@ -205,8 +205,19 @@
 		if err != nil || !update.IsLeader {
 			// A search beside the heartbeat may have found another leader meanwhile.
 			if leader := *l.leader.Load(); leader == target {
+				l.logLeaderLost(target, err)
 				l.findLeader(target, 0)
 			}
 		}
 	}
 }
+
+// logLeaderLost logs that a heartbeat failed, or that the controller it went to does not lead any more.
+func (l *LeaderClient) logLeaderLost(leader string, err error) {
+	silence := l.clock.Now() - time.Duration(l.lastHeard.Load())
+	pairs := []any{"leader", leader, "silent_ms", silence.Milliseconds()}
+	if err != nil {
+		pairs = append(pairs, eventlog.KeyError, err.Error())
+	}
+	l.log.Emit(eventlog.LeaderLost, pairs...)
+}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"sync/atomic"
+	"time"
 
 	"tinpin/internal/eventlog"
 	"tinpin/internal/frontend"
 	"tinpin/internal/metrics"
+	"tinpin/internal/rpc"
 )
 
 // attemptCounts counts attempts since the start. The zero value is ready; a nil one counts
@@ -64,6 +66,9 @@
 	}
 	registry.Gauge("requests_in_flight", "Requests read and not answered yet.", nil,
 		func() float64 { return float64(d.frontend.InFlight()) })
+	registry.Gauge("leader_silence_seconds", "Time since the leader was heard last.", nil,
+		func() float64 { return (d.clock.Now() - time.Duration(d.leader.lastHeard.Load())).Seconds() })
+	rpc.RegisterMetrics(registry)
 	return registry
 }
 
--- a/internal/proxy/metrics_test.go
+++ b/internal/proxy/metrics_test.go
@@ -29,7 +29,7 @@
 	}
 	for _, name := range []string{
 		"clients_left_total", "requests_abandoned_total", "connections_unwatched_total", "requests_in_flight",
-		"attempts_sent_after_client_left_total", "attempts_ended_after_client_left_total",
+		"attempts_sent_after_client_left_total", "attempts_ended_after_client_left_total", "peer_calls_connecting",
 	} {
 		if !strings.Contains(text, "\ntinpin_"+name+" 0\n") {
 			t.Errorf("no figure %s in:\n%s", name, text)
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -65,13 +65,17 @@
 
 // connection is the open connection or a new one.
 func (c *Client) connection(wait time.Duration) (client *rpc.Client, err error) {
+	connections.waiting.Add(1)
+	defer connections.waiting.Add(-1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.client != nil {
 		return c.client, nil
 	}
+	connections.dials.Add(1)
 	conn, err := Dial(c.Address, min(wait, c.DialWait), ackTimeout)
 	if err != nil {
+		connections.failedDials.Add(1)
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	c.client = rpc.NewClientWithCodec(newClientCodec(countedConn{conn}))
