A lost leader is replaced in time however many calls wait for it

Cause: rpc.Client.connection dialled while it held the client's mutex, and all calls to one address share the client. At a machine that answers nothing, 16 calls with claims queued at that mutex and dialled 0.5 s each, one after the other; the heartbeat of the node stood behind them for 8 s, while a search beside it had found the new leader, to which nobody sent the next heartbeat.

Change: a connection is idle, connecting, ready or backing off; one dial at a time in a goroutine of its own, no lock held while anything is waited for; each call waits within its own limit and context, a failed dial answers all that wait, and for 20 to 80 ms those that come. Requests are written beside the caller, so that a peer that does not read holds none beyond its limit. Heartbeats and the question who leads have a connection apart from claims, bindings, releases and reports. Calls to a leader end with ErrLeaderReplaced when another is found. After a failed heartbeat the old leader is asked beside the search. An update that is arriving may take its 2 s, one that does not begin is given up sooner. Why this works: what waits for the lost leader shares nothing with what finds and follows the new one.

--- a/internal/proxy/claims.go
+++ b/internal/proxy/claims.go
@@ -108,7 +108,7 @@
 		Holder: rpc.NodeID(l.settings.Name), Incarnation: l.incarnation, Claims: claims, TimeLeft: left,
 	}
 	var response rpc.ClaimResponse
-	err := l.controllerClient(*l.leader.Load()).Call(rpc.MethodClaim, request, &response, 2*claimCallTimeout)
+	err := l.callLeader(rpc.MethodClaim, request, &response, 2*claimCallTimeout)
 	if err == nil && response.IsLeader {
 		return response.Results
 	}
@@ -125,7 +125,7 @@
 func (l *LeaderClient) sendBinds(binds []rpc.SessionBinding, _ time.Duration) (results []rpc.BindResult) {
 	var response rpc.BindResponse
 	request := rpc.BindRequest{Bindings: binds}
-	err := l.controllerClient(*l.leader.Load()).Call(rpc.MethodBind, request, &response, 2*claimCallTimeout)
+	err := l.callLeader(rpc.MethodBind, request, &response, 2*claimCallTimeout)
 	if err != nil {
 		return nil
 	}
@@ -188,7 +188,7 @@
 func (l *LeaderClient) sendReleases(releases []rpc.KeyClaim) (acknowledged bool) {
 	request := rpc.ClaimRequest{Holder: rpc.NodeID(l.settings.Name), Incarnation: l.incarnation, Releases: releases}
 	var response rpc.ClaimResponse
-	err := l.controllerClient(*l.leader.Load()).Call(rpc.MethodClaim, request, &response, releaseCallTimeout)
+	err := l.callLeader(rpc.MethodClaim, request, &response, releaseCallTimeout)
 	if err != nil || !response.IsLeader || !response.Released {
 		return false
 	}
--- a/internal/proxy/leader_client.go
+++ b/internal/proxy/leader_client.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,17 +18,22 @@
 	// something to answer; heartbeatTimeout comes on top for the way.
 	heartbeatHold    = 500 * time.Millisecond
 	heartbeatTimeout = 600 * time.Millisecond
-	// updateTimeout is for a new leader's first update, which may be a large one.
-	updateTimeout = 2 * time.Second
+	// updateTimeout is for an update that is arriving, which may be a large one, and
+	// firstUpdateSilence for a new leader to begin with its first.
+	updateTimeout      = 2 * time.Second
+	firstUpdateSilence = time.Second
 	// leaderTimeout is how long a leader that is not heard counts as one.
 	leaderTimeout = 1300 * time.Millisecond
 )
 
+// ErrLeaderReplaced ends calls to a leader once another was found.
+var ErrLeaderReplaced = errors.New("another leader was found")
+
 // LeaderClient is this node's tie to the leader: heartbeats out, updates back, claims of
 // keys and questions for bindings in batches, health reports. Without a leader it asks
-// every controller it knows, and reads the platform's list itself. It also holds the
-// clients to other nodes. All methods may be called from any goroutine; each Run method
-// runs in one of its own until Done is closed.
+// every controller it knows, and reads the platform's list itself. It also calls other
+// nodes. All methods may be called from any goroutine; each Run method runs in one of
+// its own until Done is closed.
 type LeaderClient struct {
 	settings    settings.Settings
 	log         *eventlog.Logger
@@ -53,11 +60,15 @@
 	// Limits tells the demand of tenants, nil where there are none.
 	Limits *TenantLimits
 
-	mu              sync.Mutex
-	clients         map[string]*rpc.Client
+	clients clientPool
+
+	mu              sync.Mutex // guards what follows
 	pendingReleases map[rpc.KeyClaim]bool
 	queryTimeout    LeaderQueryTimeout
 	term            rpc.Term
+	// leaderContext is the lifetime of calls to the leader; replaceLeader ends it.
+	leaderContext context.Context
+	replaceLeader context.CancelCauseFunc
 }
 
 // NewLeaderClient has not found a leader yet; self tells what this node is now.
@@ -68,10 +79,11 @@
 	client = &LeaderClient{
 		settings: settings, log: log, clock: clock, state: state, incarnation: incarnation, self: self,
 		wakeReleases: make(chan struct{}, 1),
-		Done:         make(chan struct{}), clients: map[string]*rpc.Client{}, pendingReleases: map[rpc.KeyClaim]bool{},
+		Done:         make(chan struct{}), pendingReleases: map[rpc.KeyClaim]bool{},
 	}
 	client.claims = NewBatcher(claimQueueLength, claimCallsInFlight, maxClaimBatch, client.sendClaims)
 	client.binds = NewBatcher(claimQueueLength, claimCallsInFlight, maxClaimBatch, client.sendBinds)
+	client.leaderContext, client.replaceLeader = context.WithCancelCause(context.Background())
 	client.lastHeard.Store(int64(-time.Hour))
 	none := ""
 	client.leader.Store(&none)
@@ -87,29 +99,18 @@
 	return l.clock.Now()-time.Duration(l.lastHeard.Load()) < leaderTimeout
 }
 
-// peerClient gives the client of another node.
-func (l *LeaderClient) peerClient(address string) *rpc.Client { return l.client(address, 0) }
-
-// controllerClient gives the client of a controller. It may take as long to connect as
-// the longest query timeout: where the way there takes half a second, no connection
-// would ever come up otherwise.
-func (l *LeaderClient) controllerClient(address string) *rpc.Client {
-	return l.client(address, maxLeaderQueryTimeout)
-}
-
-// client gives the one client of an address; dialTimeout 0 leaves the default.
-func (l *LeaderClient) client(address string, dialTimeout time.Duration) (client *rpc.Client) {
+// currentLeader is the leader's internal address, "" while none was ever heard, and the lifetime of calls
+// to it.
+func (l *LeaderClient) currentLeader() (address string, ctx context.Context) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	client = l.clients[address]
-	if client == nil {
-		client = rpc.NewClient(address)
-		if dialTimeout > 0 {
-			client.DialWait = dialTimeout
-		}
-		l.clients[address] = client
-	}
-	return client
+	return *l.leader.Load(), l.leaderContext
+}
+
+// callLeader makes a call that carries work. It ends with ErrLeaderReplaced once another leader was found.
+func (l *LeaderClient) callLeader(method string, request, response any, limit time.Duration) (err error) {
+	leader, ctx := l.currentLeader()
+	return l.clients.of(leader, workCalls).CallContext(ctx, method, request, response, limit)
 }
 
 func (l *LeaderClient) isDone() bool {
@@ -123,19 +124,25 @@
 
 // HeartbeatNow sends a heartbeat at once, when something of this node has changed.
 func (l *LeaderClient) HeartbeatNow() {
-	if leader := *l.leader.Load(); leader != "" {
-		_, _ = l.heartbeat(leader, 0, heartbeatTimeout)
+	if leader, ctx := l.currentLeader(); leader != "" {
+		_, _ = l.heartbeat(ctx, leader, 0, heartbeatTimeout)
 	}
 }
 
 // heartbeat sends a heartbeat to one controller and applies the update if it leads;
-// update.IsLeader is cleared where it does not, or not any more.
-func (l *LeaderClient) heartbeat(target string, maxWait, timeout time.Duration) (update *rpc.Update, err error) {
+// update.IsLeader is cleared where it does not, or not any more. An update that arrives may take
+// updateTimeout, one of which nothing arrives no longer than silence, both beyond maxWait.
+func (l *LeaderClient) heartbeat(
+	ctx context.Context, target string, maxWait, silence time.Duration,
+) (update *rpc.Update, err error) {
 	requestedAt := l.clock.Now()
 	tenants := l.state.Snapshot().View.Tenants()
 	request := l.heartbeatRequest(requestedAt, maxWait, tenants)
 	update = new(rpc.Update)
-	if err = l.controllerClient(target).Call(rpc.MethodHeartbeat, &request, update, timeout); err != nil {
+	limits := rpc.Limits{Silence: maxWait + silence, Total: maxWait + updateTimeout}
+	if err = l.clients.of(target, contactCalls).CallLarge(
+		ctx, rpc.MethodHeartbeat, &request, update, limits,
+	); err != nil {
 		return nil, err
 	}
 	if !update.IsLeader {
@@ -183,9 +190,14 @@
 	if term < l.term {
 		return false
 	}
-	if old := *l.leader.Load(); !l.HasLeader() || old != target {
+	old := *l.leader.Load()
+	if !l.HasLeader() || old != target {
 		l.log.Emit(eventlog.LeaderFound, "leader", target, eventlog.KeyTerm, uint64(term))
 	}
+	if old != target {
+		l.replaceLeader(ErrLeaderReplaced)
+		l.leaderContext, l.replaceLeader = context.WithCancelCause(context.Background())
+	}
 	l.term = term
 	l.lastHeard.Store(int64(l.clock.Now()))
 	l.leader.Store(&target)
@@ -196,19 +208,32 @@
 // RunHeartbeats keeps the tie to the leader until Done is closed.
 func (l *LeaderClient) RunHeartbeats() {
 	for !l.isDone() {
-		target := *l.leader.Load()
-		if target == "" || !l.HasLeader() {
+		leader, ctx := l.currentLeader()
+		if leader == "" || !l.HasLeader() {
 			l.findLeader("", 0)
 			continue
 		}
-		update, err := l.heartbeat(target, heartbeatHold, heartbeatHold+heartbeatTimeout)
-		if err != nil || !update.IsLeader {
-			// A search beside the heartbeat may have found another leader meanwhile.
-			if leader := *l.leader.Load(); leader == target {
-				l.logLeaderLost(target, err)
-				l.findLeader(target, 0)
-			}
+		update, err := l.heartbeat(ctx, leader, heartbeatHold, heartbeatTimeout)
+		// A search beside the heartbeat may have found another leader meanwhile.
+		if err == nil && update.IsLeader || ctx.Err() != nil {
+			continue
+		}
+		l.logLeaderLost(leader, err)
+		l.recoverLeader(ctx, leader)
+	}
+}
+
+// recoverLeader looks for the leader after a heartbeat to it has failed, until one is heard. The lost one is
+// asked once more beside the search, which does not wait for it.
+func (l *LeaderClient) recoverLeader(ctx context.Context, lost string) {
+	startedAt := l.clock.Now()
+	go func() { _, _ = l.heartbeat(ctx, lost, 0, heartbeatTimeout) }()
+	for !l.isDone() && time.Duration(l.lastHeard.Load()) <= startedAt {
+		except := lost
+		if !l.HasLeader() {
+			except = ""
 		}
+		l.findLeader(except, 0)
 	}
 }
 
--- a/internal/proxy/leader_search.go
+++ b/internal/proxy/leader_search.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"math/rand"
 	"time"
 
@@ -39,7 +40,7 @@
 func (l *LeaderClient) findLeader(except string, after rpc.Term) (found bool) {
 	leader, answered := l.askForLeader(except, after)
 	if leader != "" {
-		update, err := l.heartbeat(leader, 0, updateTimeout)
+		update, err := l.heartbeat(context.Background(), leader, 0, firstUpdateSilence)
 		if err == nil && update.IsLeader {
 			return true
 		}
@@ -69,7 +70,7 @@
 		asked++
 		go func() {
 			var response rpc.LeaderResponse
-			err := l.controllerClient(address).Call(rpc.MethodLeader, rpc.LeaderRequest{}, &response, timeout)
+			err := l.clients.of(address, contactCalls).Call(rpc.MethodLeader, rpc.LeaderRequest{}, &response, timeout)
 			answers <- leaderAnswer{address, response, err}
 		}()
 	}
@@ -107,7 +108,7 @@
 	term := l.state.Known().Term
 	for l.clock.Now()-startedAt < leaderSearchLimit && time.Duration(l.lastHeard.Load()) <= startedAt {
 		if l.findLeader(old, term) {
-			l.controllerClient(old).Close()
+			l.clients.closeController(old)
 			return
 		}
 	}
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -21,7 +21,7 @@
 		return response
 	}
 	request := rpc.StoredResponseRequest{Key: key, Request: claim.Request, Incarnation: claim.Incarnation}
-	err := l.peerClient(claim.InternalAddress).CallContext(
+	err := l.clients.of(claim.InternalAddress, peerCalls).CallContext(
 		ctx, rpc.MethodStoredResponse, request, &response, recallTimeout)
 	if err != nil {
 		return rpc.StoredResponse{State: rpc.OperationLost}
@@ -37,7 +37,7 @@
 		return response
 	}
 	request := rpc.StoredResponseRequest{Key: key, Request: requestID}
-	err := l.peerClient(response.InternalAddress).CallContext(
+	err := l.clients.of(response.InternalAddress, peerCalls).CallContext(
 		ctx, rpc.MethodMovedResponse, request, &fetched, recallTimeout)
 	if err != nil {
 		return rpc.StoredResponse{State: rpc.OperationLost}
@@ -48,7 +48,7 @@
 // StoreAt hands a response to a node in a region that may store it.
 func (l *LeaderClient) StoreAt(address string, request rpc.StoreRequest) (stored bool) {
 	var response rpc.StoreAcknowledgement
-	err := l.peerClient(address).Call(rpc.MethodStoreResponse, request, &response, storeTimeout)
+	err := l.clients.of(address, peerCalls).Call(rpc.MethodStoreResponse, request, &response, storeTimeout)
 	return err == nil && response.Stored
 }
 
@@ -58,6 +58,6 @@
 		return false
 	}
 	var response rpc.HealthReportResponse
-	err := l.controllerClient(*l.leader.Load()).Call(rpc.MethodHealthReport, report, &response, reportTimeout)
+	err := l.callLeader(rpc.MethodHealthReport, report, &response, reportTimeout)
 	return err == nil && response.IsLeader && response.Accepted
 }
--- a/internal/proxy/policies.go
+++ b/internal/proxy/policies.go
@@ -333,7 +333,8 @@
 			defer func() { <-slots; calls.Done() }()
 			var response rpc.RetirementsResponse
 			request := rpc.RetirementsRequest{From: rpc.NodeID(d.settings.Name)}
-			err := d.leader.peerClient(address).Call(rpc.MethodRetirements, request, &response, peerCallTimeout)
+			peer := d.leader.clients.of(address, peerCalls)
+			err := peer.Call(rpc.MethodRetirements, request, &response, peerCallTimeout)
 			if err != nil {
 				return
 			}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/rpc"
 	"reflect"
 	"sync"
@@ -41,66 +42,46 @@
 )
 
 // Client calls one controller or node over one connection, which it opens when it is
-// needed. A connection on which nothing arrived throughout a call is given up, since
-// nothing else would show a network partition; the next call opens another. Calls are
-// numbered by connection, so none gets a response from an earlier connection.
+// needed. Each call waits for the connection and for its response within its own limit
+// and context; none waits for another call. A connection on which nothing arrived
+// throughout a call is given up, since nothing else would show a network partition; the
+// next call opens another. Calls are numbered by connection, so none gets a response
+// from an earlier connection.
 type Client struct {
 	Address string
-	// DialWait bounds the wait for a connection.
+	// DialWait bounds an attempt to connect.
 	DialWait time.Duration
+	// dial opens a connection.
+	dial func(ctx context.Context, address string, wait time.Duration) (conn net.Conn, err error)
 	// clock is the monotonic time since the client was made.
 	clock func() time.Duration
 	// lastResponse is when the last response came, by that clock.
 	lastResponse atomic.Int64
+	// lastRead is when bytes last arrived, in nanoseconds of Unix time.
+	lastRead atomic.Int64
 
-	mu     sync.Mutex // guards client
-	client *rpc.Client
+	mu sync.Mutex // guards what follows; never held while anything is waited for
+	// client is the open connection, attempt the one that is being made; at most one is set.
+	client  *rpc.Client
+	attempt *dialAttempt
+	// dialError is why the last dial failed; none is made before dialAgainAt.
+	dialError   error
+	dialBackoff time.Duration
+	dialAgainAt time.Time
 }
 
 // NewClient makes a client that has no connection yet.
 func NewClient(address string) (client *Client) {
 	made := time.Now()
-	return &Client{Address: address, DialWait: dialWait, clock: func() time.Duration { return time.Since(made) }}
-}
-
-// connection is the open connection or a new one.
-func (c *Client) connection(wait time.Duration) (client *rpc.Client, err error) {
-	connections.waiting.Add(1)
-	defer connections.waiting.Add(-1)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.client != nil {
-		return c.client, nil
-	}
-	connections.dials.Add(1)
-	conn, err := Dial(c.Address, min(wait, c.DialWait), ackTimeout)
-	if err != nil {
-		connections.failedDials.Add(1)
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	return &Client{
+		Address: address, DialWait: dialWait, dial: dialPeer,
+		clock: func() time.Duration { return time.Since(made) },
 	}
-	c.client = rpc.NewClientWithCodec(newClientCodec(countedConn{conn}))
-	return c.client, nil
 }
 
-// drop gives up a connection.
-func (c *Client) drop(client *rpc.Client) {
-	c.mu.Lock()
-	if c.client == client {
-		c.client = nil
-	}
-	c.mu.Unlock()
-	_ = client.Close()
-}
-
-// Close closes the connection. A later call opens another.
-func (c *Client) Close() {
-	c.mu.Lock()
-	client := c.client
-	c.client = nil
-	c.mu.Unlock()
-	if client != nil {
-		_ = client.Close()
-	}
+// dialPeer opens a connection to another daemon.
+func dialPeer(ctx context.Context, address string, wait time.Duration) (conn net.Conn, err error) {
+	return Dial(ctx, address, wait, ackTimeout)
 }
 
 // Call is CallContext for what has no lifetime but its limit.
@@ -108,60 +89,111 @@
 	return c.CallContext(context.Background(), method, request, response, limit)
 }
 
-// CallContext sends a request and waits for the response no longer than limit and its context. The
-// response is read into a value of its own and copied to what the pointer points to only if
-// err is nil: one that comes later goes nowhere.
+// CallContext sends a request and waits for the response no longer than limit and its context, the wait
+// for a connection included. The response is read into a value of its own and copied to what the pointer
+// points to only if err is nil: one that comes later goes nowhere.
 func (c *Client) CallContext(
 	ctx context.Context, method string, request, response any, limit time.Duration,
 ) (err error) {
-	client, err := c.connection(limit)
+	return c.CallLarge(ctx, method, request, response, Limits{Silence: limit, Total: limit})
+}
+
+// Limits bound a call: it ends after Total, and sooner once nothing has arrived for as long as Silence.
+type Limits struct{ Silence, Total time.Duration }
+
+// CallLarge is CallContext for a response that may take long to arrive.
+func (c *Client) CallLarge(
+	ctx context.Context, method string, request, response any, limits Limits,
+) (err error) {
+	p := pendingCall{client: c, begun: c.clock(), startedAt: time.Now(), limits: limits}
+	p.timer = time.NewTimer(p.shortest())
+	defer p.timer.Stop()
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, context.Cause(ctx))
+	}
+	client, dialled, err := c.connection(ctx, p.timer)
 	if err != nil {
 		return err
 	}
-	begun := c.clock()
+	sentAt := time.Now()
 	received := reflect.New(reflect.TypeOf(response).Elem())
-	call := client.Go(method, request, received.Interface(), make(chan *rpc.Call, 1))
-	if c.wait(ctx, call, begun, limit) {
-		if call.Error == nil {
-			c.lastResponse.Store(int64(c.clock()))
-			reflect.ValueOf(response).Elem().Set(received.Elem())
-			return nil
-		}
-		var refused rpc.ServerError
-		if !errors.As(call.Error, &refused) {
+	// net/rpc writes the request before it returns, and other calls write before this one.
+	done := make(chan *rpc.Call, 1)
+	go client.Go(method, request, received.Interface(), done)
+	call := p.wait(ctx, done)
+	switch {
+	case call != nil && call.Error == nil:
+		c.lastResponse.Store(int64(c.clock()))
+		reflect.ValueOf(response).Elem().Set(received.Elem())
+		return nil
+	case call != nil:
+		if refused := rpc.ServerError(""); !errors.As(call.Error, &refused) {
 			c.drop(client)
 		}
 		return Class.Wrap(call.Error)
+	case ctx.Err() != nil:
+		return Class.Wrap(context.Cause(ctx))
 	}
-	if err = ctx.Err(); err != nil {
-		return Class.Wrap(err)
+	waited := p.shortest()
+	if dialled {
+		waited = time.Since(sentAt)
 	}
-	if limit >= idleCallLimit && time.Duration(c.lastResponse.Load()) < begun {
+	if waited >= idleCallLimit && time.Duration(c.lastResponse.Load()) < p.begun {
 		c.drop(client)
 	}
 	return ErrTimeout
 }
 
-// wait waits for a call no longer than limit. A process that stood still meanwhile
+// pendingCall is the wait of one call.
+type pendingCall struct {
+	client *Client
+	// begun is when the call began by the client's clock, startedAt by the wall clock.
+	begun     time.Duration
+	startedAt time.Time
+	limits    Limits
+	timer     *time.Timer
+}
+
+// shortest is how long the call waits if nothing arrives.
+func (p *pendingCall) shortest() time.Duration { return min(p.limits.Silence, p.limits.Total) }
+
+// wait gives the call once it has ended, or nil when its time is over. A process that stood still meanwhile
 // has not looked at what arrived: it has not timed out before that is read.
-func (c *Client) wait(ctx context.Context, call *rpc.Call, begun, limit time.Duration) (done bool) {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case <-call.Done:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
+func (p *pendingCall) wait(ctx context.Context, done <-chan *rpc.Call) (call *rpc.Call) {
+	for {
+		select {
+		case call = <-done:
+			return call
+		case <-ctx.Done():
+			return nil
+		case <-p.timer.C:
+		}
+		left := p.timeLeft()
+		if left <= 0 {
+			break
+		}
+		p.timer.Reset(left)
 	}
-	if c.clock()-begun < limit+pauseThreshold {
-		return false
+	if p.client.clock()-p.begun < p.shortest()+pauseThreshold {
+		return nil
 	}
-	timer.Reset(pauseReadTime)
+	p.timer.Reset(pauseReadTime)
 	select {
-	case <-call.Done:
-		return true
-	case <-timer.C:
-		return false
+	case call = <-done:
+	case <-p.timer.C:
+	}
+	return call
+}
+
+// timeLeft is how much longer to wait for a response of which something has arrived lately.
+func (p *pendingCall) timeLeft() (left time.Duration) {
+	if p.limits.Silence >= p.limits.Total {
+		return 0
+	}
+	now := time.Now()
+	heardAt := time.Unix(0, p.client.lastRead.Load())
+	if heardAt.Before(p.startedAt) {
+		heardAt = p.startedAt
 	}
+	return min(p.limits.Silence-now.Sub(heardAt), p.limits.Total-now.Sub(p.startedAt))
 }
--- a/internal/rpc/dial.go
+++ b/internal/rpc/dial.go
@@ -20,12 +20,12 @@
 	}
 }
 
-// Dial opens a connection. It waits no longer than wait, and the connection ends when
-// the other end acknowledges nothing for as long as ackTimeout.
-func Dial(address string, wait, ackTimeout time.Duration) (conn net.Conn, err error) {
+// Dial opens a connection. It waits no longer than wait and its context, and the connection
+// ends when the other end acknowledges nothing for as long as ackTimeout.
+func Dial(ctx context.Context, address string, wait, ackTimeout time.Duration) (conn net.Conn, err error) {
 	dialer := net.Dialer{Timeout: wait, KeepAlive: -1, Control: UserTimeout(ackTimeout)}
 	dialer.SetMultipathTCP(false)
-	return dialer.Dial("tcp4", address)
+	return dialer.DialContext(ctx, "tcp4", address)
 }
 
 // Listen opens a listener. Its connections end when the other end acknowledges nothing
--- a/internal/rpc/replay_test.go
+++ b/internal/rpc/replay_test.go
@@ -151,7 +151,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(server.Close)
-	conn, err := Dial(address, 5*time.Second, 5*time.Second)
+	conn, err := Dial(t.Context(), address, 5*time.Second, 5*time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
