A kept connection uses the limits that hold when its request comes

Cause: requestReader.readOne read the limits from the configuration and then waited for the next request, for up to idle_timeout; the request was checked by what it had read before the wait. The same held for header limits, for limits that were lowered, for connections without a request so far and for those at work, whose reader waits for the next request already. The wait itself kept the idle_timeout of its beginning.

Change: limits are looked up when a request's first byte is there, and hold for that request. A wait follows a changed idle_timeout (frontend.Server.ApplyLimits, called after each update of the leader), but never ends sooner than the client was told. Why this works: nothing that was read before a wait is used after it.

TestAnAnnouncedIdleTimeoutHolds shares its time-out through an atomic now, since the server looks it up in another goroutine; what it asserts is the same.

--- a/internal/frontend/client_conn.go
+++ b/internal/frontend/client_conn.go
@@ -123,12 +123,13 @@
 	r.awaitAnswers(0)
 }
 
-// readOne reads one request and has it handled; it tells whether another may follow.
+// readOne reads one request and has it handled; it tells whether another may follow. The limits of a request
+// are those that hold when its first byte is there, however long the connection has waited for it.
 func (r *requestReader) readOne() (more bool) {
-	limits := r.server.view().Limits
-	if !r.await(limits.IdleTimeout) {
+	if !r.await() {
 		return false
 	}
+	limits := r.server.view().Limits
 	parsed, kind := r.readHead(limits)
 	if parsed == nil {
 		if kind != apierror.None {
@@ -155,7 +156,7 @@
 }
 
 // await waits for the first byte of a request; it returns false when the connection is to end.
-func (r *requestReader) await(idleTime time.Duration) bool {
+func (r *requestReader) await() bool {
 	server, client := r.server, r.client
 	r.source.limit = 0
 	// Idle times are kept only while connections may have to be closed for others.
@@ -163,7 +164,7 @@
 	if crowded {
 		server.setIdle(client, true)
 	}
-	err := r.peekUntilIdle(idleTime)
+	err := r.peekUntilIdle()
 	if crowded {
 		server.setIdle(client, false)
 	}
@@ -179,12 +180,13 @@
 }
 
 // peekUntilIdle waits for the first byte of a request until the connection has been idle too long: since its
-// last response, and never while a request is unanswered.
-func (r *requestReader) peekUntilIdle(idleTime time.Duration) (err error) {
+// last response, and never while a request is unanswered. A change of the idle time-out applies to the wait
+// that is under way: ApplyLimits wakes it.
+func (r *requestReader) peekUntilIdle() (err error) {
 	client := r.client
 	client.idleWait.begin()
 	defer client.idleWait.end()
-	for idleEnd := time.Now().Add(idleTime); ; {
+	for idleEnd := time.Now().Add(r.idleTimeout()); ; {
 		_ = client.netConn.SetReadDeadline(idleEnd)
 		// What asks for the end may have woken this reader before it set its deadline.
 		if end, ends := r.endsAt(); ends {
@@ -199,13 +201,16 @@
 			return err
 		}
 		// The client was told the idle time-out that held when it was answered.
-		idleFor := max(idleTime, time.Duration(client.idleTime.Load()))
+		idleFor := max(r.idleTimeout(), time.Duration(client.idleTime.Load()))
 		if idleEnd = client.idleSince(now).Add(idleFor); !idleEnd.After(now) {
 			return err
 		}
 	}
 }
 
+// idleTimeout is the idle time-out that holds now.
+func (r *requestReader) idleTimeout() time.Duration { return r.server.view().Limits.IdleTimeout }
+
 // endsAt tells when a connection is to end unless a request arrives on it, if there is a reason other than
 // its being idle. One that has just been opened is given the time for its first request.
 func (r *requestReader) endsAt() (end time.Time, ends bool) {
--- a/internal/frontend/draining.go
+++ b/internal/frontend/draining.go
@@ -61,11 +61,7 @@
 	s.StartDraining()
 	s.CloseListener()
 	s.closingIdle.Store(true)
-	s.mu.Lock()
-	for c := range s.conns {
-		c.idleWait.wake(c.netConn)
-	}
-	s.mu.Unlock()
+	s.wakeIdle()
 	return s.awaitConns(ctx)
 }
 
--- a/internal/frontend/draining_test.go
+++ b/internal/frontend/draining_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,17 +172,18 @@
 // that held before.
 func TestAnAnnouncedIdleTimeoutHolds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		idleTime := 20 * time.Second
+		var idleTime atomic.Int64
+		idleTime.Store(int64(20 * time.Second))
 		handle := func(_ context.Context, request *message.Request, _ string) message.Response {
 			// The reader waits for the next request already.
 			synctest.Wait()
-			idleTime = time.Minute
+			idleTime.Store(int64(time.Minute))
 			return bodyOf(request)
 		}
 		plain := config.New().RoutingTable()
 		server := New(handle, func() *config.RoutingTable {
 			changed := *plain
-			changed.Limits.IdleTimeout = idleTime
+			changed.Limits.IdleTimeout = time.Duration(idleTime.Load())
 			return &changed
 		}, 10, 1<<20)
 		ours, theirs := net.Pipe()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -51,6 +51,8 @@
 	closingIdle atomic.Bool
 	// drainCounts counts from the beginning of draining.
 	drainCounts DrainCounts
+	// appliedIdleTimeout is the idle time-out that connections wait by.
+	appliedIdleTimeout atomic.Int64
 	// ctx is the lifetime of all requests; cancel ends it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -147,6 +149,24 @@
 	}
 }
 
+// ApplyLimits has connections that wait for a request follow a changed idle time-out. It is called after each
+// change of the configuration. All other limits are looked up when a request comes.
+func (s *Server) ApplyLimits() {
+	idleTimeout := int64(s.view().Limits.IdleTimeout)
+	if s.appliedIdleTimeout.Swap(idleTimeout) != idleTimeout {
+		s.wakeIdle()
+	}
+}
+
+// wakeIdle has each connection that waits for a request look again how long it may.
+func (s *Server) wakeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.idleWait.wake(c.netConn)
+	}
+}
+
 // InFlight counts requests that are read and not yet answered.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/internal/proxy/daemon.go
+++ b/internal/proxy/daemon.go
@@ -90,7 +90,7 @@
 	if err = d.listen(); err != nil {
 		return nil, err
 	}
-	d.leader.OnUpdate = d.becomeReady
+	d.leader.OnUpdate = d.updateApplied
 	d.leader.Limits, d.leader.Loads = d.tenantLimits, d.concurrency.loads
 	go d.leader.RunHeartbeats()
 	go d.leader.RunClaims()
@@ -163,6 +163,12 @@
 	}
 }
 
+// updateApplied is called after each update of the leader.
+func (d *Daemon) updateApplied() {
+	d.frontend.ApplyLimits()
+	d.becomeReady()
+}
+
 // becomeReady makes the node ready once it has the configuration and the endpoint list.
 func (d *Daemon) becomeReady() {
 	if d.ready.Load() {
--- a/internal/proxy/leader_client.go
+++ b/internal/proxy/leader_client.go
@@ -19,9 +19,9 @@
 	heartbeatHold    = 500 * time.Millisecond
 	heartbeatTimeout = 600 * time.Millisecond
 	// updateTimeout is for an update that is arriving, which may be a large one, and
-	// firstUpdateSilence for a new leader to begin with its first.
+	// firstUpdateTimeout for a new leader to begin with its first.
 	updateTimeout      = 2 * time.Second
-	firstUpdateSilence = time.Second
+	firstUpdateTimeout = time.Second
 	// leaderTimeout is how long a leader that is not heard counts as one.
 	leaderTimeout = 1300 * time.Millisecond
 )
@@ -131,15 +131,15 @@
 
 // heartbeat sends a heartbeat to one controller and applies the update if it leads;
 // update.IsLeader is cleared where it does not, or not any more. An update that arrives may take
-// updateTimeout, one of which nothing arrives no longer than silence, both beyond maxWait.
+// updateTimeout, one of which nothing arrives no longer than timeout, both beyond maxWait.
 func (l *LeaderClient) heartbeat(
-	ctx context.Context, target string, maxWait, silence time.Duration,
+	ctx context.Context, target string, maxWait, timeout time.Duration,
 ) (update *rpc.Update, err error) {
 	requestedAt := l.clock.Now()
 	tenants := l.state.Snapshot().View.Tenants()
 	request := l.heartbeatRequest(requestedAt, maxWait, tenants)
 	update = new(rpc.Update)
-	limits := rpc.Limits{Silence: maxWait + silence, Total: maxWait + updateTimeout}
+	limits := rpc.Limits{NoData: maxWait + timeout, Total: maxWait + updateTimeout}
 	if err = l.clients.of(target, contactCalls).CallLarge(
 		ctx, rpc.MethodHeartbeat, &request, update, limits,
 	); err != nil {
@@ -239,8 +239,8 @@
 
 // logLeaderLost logs that a heartbeat failed, or that the controller it went to does not lead any more.
 func (l *LeaderClient) logLeaderLost(leader string, err error) {
-	silence := l.clock.Now() - time.Duration(l.lastHeard.Load())
-	pairs := []any{"leader", leader, "silent_ms", silence.Milliseconds()}
+	since := l.clock.Now() - time.Duration(l.lastHeard.Load())
+	pairs := []any{"leader", leader, "last_heard_ms", since.Milliseconds()}
 	if err != nil {
 		pairs = append(pairs, eventlog.KeyError, err.Error())
 	}
--- a/internal/proxy/leader_loss_test.go
+++ b/internal/proxy/leader_loss_test.go
@@ -32,7 +32,7 @@
 
 	mu         sync.Mutex
 	term       rpc.Term      // the term in which it leads, 0 while it does not
-	silence    chan struct{} // while it is not nil, nothing is answered until it is closed
+	stopped    chan struct{} // while it is not nil, nothing is answered until it is closed
 	heartbeats chan time.Time
 }
 
@@ -73,10 +73,10 @@
 // status is the term in which the controller leads, once it answers at all.
 func (c *fakeController) status() (term rpc.Term) {
 	c.mu.Lock()
-	silence := c.silence
+	stopped := c.stopped
 	c.mu.Unlock()
-	if silence != nil {
-		<-silence
+	if stopped != nil {
+		<-stopped
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -93,14 +93,14 @@
 	fillAcceptQueue(t, c.address)
 }
 
-// fallSilent has the controller accept connections and requests, and answer none.
-func (c *fakeController) fallSilent(t *testing.T) {
+// stopAnswering has the controller accept connections and requests, and answer none.
+func (c *fakeController) stopAnswering(t *testing.T) {
 	t.Helper()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	silence := make(chan struct{})
-	c.silence = silence
-	t.Cleanup(func() { close(silence) })
+	stopped := make(chan struct{})
+	c.stopped = stopped
+	t.Cleanup(func() { close(stopped) })
 }
 
 // fillAcceptQueue listens on an address and accepts nothing, with a full queue: connecting to it hangs.
@@ -203,9 +203,9 @@
 // it kept older routes for seconds while its heartbeat waited behind claims for a connection to the lost leader.
 func TestALostLeaderIsReplacedInTimeUnderClaims(t *testing.T) {
 	for name, lose := range map[string]func(*fakeController, *testing.T){
-		"refuses": (*fakeController).refuse,
-		"hangs":   (*fakeController).hang,
-		"silent":  (*fakeController).fallSilent,
+		"refuses":         (*fakeController).refuse,
+		"hangs":           (*fakeController).hang,
+		"stops answering": (*fakeController).stopAnswering,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/proxy/leader_search.go
+++ b/internal/proxy/leader_search.go
@@ -40,7 +40,7 @@
 func (l *LeaderClient) findLeader(except string, after rpc.Term) (found bool) {
 	leader, answered := l.askForLeader(except, after)
 	if leader != "" {
-		update, err := l.heartbeat(context.Background(), leader, 0, firstUpdateSilence)
+		update, err := l.heartbeat(context.Background(), leader, 0, firstUpdateTimeout)
 		if err == nil && update.IsLeader {
 			return true
 		}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -66,7 +66,7 @@
 	}
 	registry.Gauge("requests_in_flight", "Requests read and not answered yet.", nil,
 		func() float64 { return float64(d.frontend.InFlight()) })
-	registry.Gauge("leader_silence_seconds", "Time since the leader was heard last.", nil,
+	registry.Gauge("leader_last_heard_seconds", "Time since the leader was heard last.", nil,
 		func() float64 { return (d.clock.Now() - time.Duration(d.leader.lastHeard.Load())).Seconds() })
 	rpc.RegisterMetrics(registry)
 	return registry
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -95,11 +95,11 @@
 func (c *Client) CallContext(
 	ctx context.Context, method string, request, response any, limit time.Duration,
 ) (err error) {
-	return c.CallLarge(ctx, method, request, response, Limits{Silence: limit, Total: limit})
+	return c.CallLarge(ctx, method, request, response, Limits{NoData: limit, Total: limit})
 }
 
-// Limits bound a call: it ends after Total, and sooner once nothing has arrived for as long as Silence.
-type Limits struct{ Silence, Total time.Duration }
+// Limits bound a call: it ends after Total, and sooner once nothing has arrived for as long as NoData.
+type Limits struct{ NoData, Total time.Duration }
 
 // CallLarge is CallContext for a response that may take long to arrive.
 func (c *Client) CallLarge(
@@ -155,7 +155,7 @@
 }
 
 // shortest is how long the call waits if nothing arrives.
-func (p *pendingCall) shortest() time.Duration { return min(p.limits.Silence, p.limits.Total) }
+func (p *pendingCall) shortest() time.Duration { return min(p.limits.NoData, p.limits.Total) }
 
 // wait gives the call once it has ended, or nil when its time is over. A process that stood still meanwhile
 // has not looked at what arrived: it has not timed out before that is read.
@@ -187,7 +187,7 @@
 
 // timeLeft is how much longer to wait for a response of which something has arrived lately.
 func (p *pendingCall) timeLeft() (left time.Duration) {
-	if p.limits.Silence >= p.limits.Total {
+	if p.limits.NoData >= p.limits.Total {
 		return 0
 	}
 	now := time.Now()
@@ -195,5 +195,5 @@
 	if heardAt.Before(p.startedAt) {
 		heardAt = p.startedAt
 	}
-	return min(p.limits.Silence-now.Sub(heardAt), p.limits.Total-now.Sub(p.startedAt))
+	return min(p.limits.NoData-now.Sub(heardAt), p.limits.Total-now.Sub(p.startedAt))
 }
--- a/internal/rpc/connection_test.go
+++ b/internal/rpc/connection_test.go
@@ -215,7 +215,7 @@
 
 // A large response may take longer than a peer may be silent, but one that stops arriving is given up.
 func TestALargeResponseIsWaitedForWhileItArrives(t *testing.T) {
-	const silence, limit = 300 * time.Millisecond, 5 * time.Second
+	const noData, limit = 300 * time.Millisecond, 5 * time.Second
 	for name, c := range map[string]struct {
 		gap, stopsAt time.Duration
 		err          error
@@ -223,7 +223,7 @@
 	}{
 		"arrives in pieces": {gap: 200 * time.Millisecond, stopsAt: time.Hour},
 		"stops arriving":    {gap: 200 * time.Millisecond, stopsAt: 500 * time.Millisecond, err: ErrTimeout},
-		"never begins":      {gap: time.Hour, stopsAt: time.Hour, err: ErrTimeout, took: silence},
+		"never begins":      {gap: time.Hour, stopsAt: time.Hour, err: ErrTimeout, took: noData},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -251,12 +251,12 @@
 				client := newDialledClient(dialer)
 				defer client.Close()
 				var response GatedResponse
-				err := client.CallLarge(t.Context(), "Gated.Ask", 30, &response, Limits{Silence: silence, Total: limit})
+				err := client.CallLarge(t.Context(), "Gated.Ask", 30, &response, Limits{NoData: noData, Total: limit})
 				took := time.Since(begun)
 				if !errors.Is(err, c.err) || c.took > 0 && took != c.took || took > limit {
 					t.Errorf("after %s: %v", took, err)
 				}
-				if c.err == nil && (took <= silence || response.Number != 30) {
+				if c.err == nil && (took <= noData || response.Number != 30) {
 					t.Errorf("after %s: %+v", took, response)
 				}
 			})
