--- a/internal/proxy/policies.go
+++ b/internal/proxy/policies.go
@@ -9,7 +9,6 @@
 	"tinpin/internal/affinity"
 	"tinpin/internal/config"
 	"tinpin/internal/drain"
-	"tinpin/internal/eventlog"
 	"tinpin/internal/history"
 	"tinpin/internal/policy"
 	"tinpin/internal/retry"
@@ -20,10 +19,7 @@
 const (
 	// nodeMemory is how long a node that is gone counts as one of the fleet, of which
 	// more than half must answer where no leader is heard.
-	nodeMemory        = 2 * time.Minute
-	peerCallTimeout   = 300 * time.Millisecond
-	peerCallsInFlight = 16
-	policyInterval    = 250 * time.Millisecond
+	nodeMemory = 2 * time.Minute
 )
 
 // metNode is a node that was heard of, and when it was last.
@@ -269,91 +265,3 @@
 	}
 	return o.planStep.Summary(), o.planStep.Rev, o.planStep.Rev > 0
 }
-
-// enforcePolicies does what policies want at a time, until the node stops: it asks other
-// nodes where no leader is heard, notes when this node is isolated, and ends requests
-// that have had their time at a retired backend.
-func (d *Daemon) enforcePolicies() {
-	ticker := time.NewTicker(policyInterval)
-	defer ticker.Stop()
-	for askedAt := time.Duration(0); ; {
-		select {
-		case <-ticker.C:
-		case <-d.leader.Done:
-			return
-		}
-		now := d.clock.Now()
-		policies := d.state.Policies
-		policies.mu.Lock()
-		unheard, drainPolicy := policies.drainPermit.ShouldAskPeers(now), policies.drainPolicy
-		expired := policies.drainPermit.Expired(now, func(service rpc.ServiceName) time.Duration {
-			return time.Duration(drainPolicy.RuleFor(service).Finish)
-		})
-		policies.mu.Unlock()
-		for _, retirement := range expired {
-			keepKeyed := drainPolicy.RuleFor(retirement.Service).KeyedRequests == drain.KeyedDeadline
-			d.state.abortRequests(retirement.Server, keepKeyed)
-		}
-		if drainPolicy == nil {
-			policies.isolated.Store(false)
-			continue
-		}
-		if unheard && now-askedAt > time.Duration(drainPolicy.IsolatedAfter)/4 {
-			askedAt = now
-			d.askPeers(now)
-		}
-		policies.mu.Lock()
-		isolated := policies.drainPermit.Isolated(d.clock.Now())
-		policies.mu.Unlock()
-		if policies.isolated.Swap(isolated) != isolated {
-			d.log.Emit(eventlog.IsolationChanged, "isolated", isolated)
-		}
-	}
-}
-
-// askPeers asks all nodes which retirements they follow; more than half of the fleet,
-// this node counted, must answer for it to count as having heard them.
-func (d *Daemon) askPeers(now time.Duration) {
-	policies := d.state.Policies
-	policies.mu.Lock()
-	var addresses []string
-	for id, node := range policies.recentNodes {
-		if string(id) != d.settings.Name {
-			addresses = append(addresses, node.InternalAddress)
-		}
-	}
-	policies.mu.Unlock()
-	var calls sync.WaitGroup
-	var answers atomic.Int64
-	slots := make(chan struct{}, peerCallsInFlight)
-	for _, address := range addresses {
-		calls.Add(1)
-		slots <- struct{}{}
-		go func() {
-			defer func() { <-slots; calls.Done() }()
-			var response rpc.RetirementsResponse
-			request := rpc.RetirementsRequest{From: rpc.NodeID(d.settings.Name)}
-			peer := d.leader.clients.of(address, peerCalls)
-			err := peer.Call(rpc.MethodRetirements, request, &response, peerCallTimeout)
-			if err != nil {
-				return
-			}
-			answers.Add(1)
-			policies.mu.Lock()
-			policies.applyRetirements(d.clock.Now(), response.Retirements, d.state.History, true)
-			policies.mu.Unlock()
-		}()
-	}
-	calls.Wait()
-	if 2*(int(answers.Load())+1) > len(addresses)+1 {
-		policies.mu.Lock()
-		policies.drainPermit.PeersResponded(now)
-		policies.mu.Unlock()
-	}
-}
-
-// Orders tells another node which retirements this one follows.
-func (k *PeerService) Orders(_ rpc.RetirementsRequest, reply *rpc.RetirementsResponse) (err error) {
-	reply.Retirements = k.daemon.state.Policies.Retirements()
-	return nil
-}
