Soak: the limit of bodies changes, and connections that have rested send bodies; usage is in -json

Change: action body-limit, by turns a million and a hundred thousand bytes; CONFIG where a body is judged by limits that only an older version has, DENIED counts what the limits allow. Clients that rest do so beyond config_apply in a third of the cases, and send long bodies. Which changes may be in force for a request is one function for routes and limits. Lookups.onAnswer, which nobody used, is gone.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -63,6 +63,7 @@
 		c.checkRuns(request, arrivals)
 		c.checkAnswer(request, arrivals)
 		c.checkTimes(request, arrivals)
+		c.checkBody(request)
 	}
 	c.checkKeys()
 	c.checkRepeats()
--- a/internal/soak/check_runs.go
+++ b/internal/soak/check_runs.go
@@ -157,7 +157,11 @@
 	var last *Request
 	for _, request := range c.log.requests {
 		clientError := request.Status/100 == 4 && !promisesNotRun(request.Status)
-		if request.End == Answered && clientError && request.Status != http.StatusConflict {
+		if request.End != Answered || !clientError || request.Status == http.StatusConflict {
+			continue
+		}
+		tightest, _, _ := c.bodyLimits(request)
+		if request.BodyBytes <= tightest {
 			denied, last = denied+1, request
 		}
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -155,6 +155,28 @@
 		s.moveAway(configApply + time.Second)
 		s.watch.add(Span{From: playSent, To: playSent})
 	}, ""},
+	"a small body is refused": {NonIdempotent, func(s *finishedPlay) {
+		s.limitBodies(tightestBody, configApply+time.Second)
+		s.refuseBody(tightestBody)
+	}, ruleConfig},
+	"a body is refused by limits of before": {NonIdempotent, func(s *finishedPlay) {
+		s.operator.changes[len(s.operator.changes)-1].BodyBytes = tightestBody
+		s.limitBodies(widestBody, configApply+time.Second)
+		s.refuseBody(tightestBody + 1)
+	}, ruleConfig},
+	"a body is refused by limits that may hold": {NonIdempotent, func(s *finishedPlay) {
+		s.operator.changes[len(s.operator.changes)-1].BodyBytes = tightestBody
+		s.limitBodies(widestBody, time.Second)
+		s.refuseBody(tightestBody + 1)
+	}, ""},
+	"a large body is refused": {NonIdempotent, func(s *finishedPlay) {
+		s.limitBodies(tightestBody, configApply+time.Second)
+		s.refuseBody(tightestBody + 1)
+	}, ""},
+	"a body is served by limits of before": {NonIdempotent, func(s *finishedPlay) {
+		s.limitBodies(tightestBody, configApply+time.Second)
+		s.request.BodyBytes = tightestBody + 1
+	}, ruleConfig},
 	"an older version, not yet due": {Moving, func(s *finishedPlay) { s.moveAway(time.Second) }, ""},
 	"it ends by itself":             {Idempotent, func(s *finishedPlay) { s.life.Ended = 30 * time.Second }, ruleExit},
 	"it ends with a failure": {Idempotent, func(s *finishedPlay) {
@@ -196,6 +218,19 @@
 	})
 }
 
+// limitBodies has the limits bound bodies, acknowledged a time before the request was sent.
+func (s *finishedPlay) limitBodies(bodyBytes int, before time.Duration) {
+	s.operator.changes = append(s.operator.changes, &Change{
+		Item: limitsItem, Version: 2, BodyBytes: bodyBytes, Result: Acknowledged, AnsweredAt: playSent - before,
+	})
+}
+
+// refuseBody has the request be refused for the length of its body.
+func (s *finishedPlay) refuseBody(bodyBytes int) {
+	s.request.BodyBytes, s.request.Status, s.request.Signature = bodyBytes, 413, ""
+	s.arrival.End = Rejected
+}
+
 // deny adds requests that get a status.
 func (s *finishedPlay) deny(status, count int) {
 	for n := range count {
--- a/internal/soak/check_times.go
+++ b/internal/soak/check_times.go
@@ -13,6 +13,8 @@
 	maxSentAfterLeft = 3
 	maxWorkedShare   = 0.25
 	minLasting       = 8
+	// bodySendTime is how long before its last byte a request may have come, which is judged by the limits of then.
+	bodySendTime = 500 * time.Millisecond
 	// recoverSpan is the end of a play in which minRecovered must be served.
 	recoverSpan  = 4 * time.Second
 	minRecovered = 0.25
@@ -54,15 +56,9 @@
 	if request.Kind != Moving || !c.inTouch(proxy, request.Sent) {
 		return
 	}
-	newest := 0
-	for _, change := range c.changesOf(kindRoute(Moving)) {
-		if change.Result == Acknowledged && change.AnsweredAt+configApply < request.Sent {
-			newest = max(newest, change.Version)
-		}
-	}
-	for _, change := range c.changesOf(kindRoute(Moving)) {
-		sent := change.Version >= newest && change.Sent <= arrival.At && change.Result != Refused
-		if sent && change.Service == arrival.Service {
+	inForce, newest := c.mayBeInForce(kindRoute(Moving), request.Sent, arrival.At)
+	for _, change := range inForce {
+		if change.Service == arrival.Service {
 			return
 		}
 	}
@@ -72,6 +68,52 @@
 	c.addTimed(late, "a request ran at %s, which only a version before %d allows", arrival.Service, newest)
 }
 
+// mayBeInForce lists the changes of an item by which a request may be handled that was sent at a time and handled
+// by another, and the newest version that had to be in force when it was sent.
+func (c *checker) mayBeInForce(item string, sent, handled time.Duration) (changes []*Change, newest int) {
+	for _, change := range c.changesOf(item) {
+		if change.Result == Acknowledged && change.AnsweredAt+configApply < sent {
+			newest = max(newest, change.Version)
+		}
+	}
+	for _, change := range c.changesOf(item) {
+		if change.Version >= newest && change.Sent <= handled && change.Result != Refused {
+			changes = append(changes, change)
+		}
+	}
+	return changes, newest
+}
+
+// bodyLimits are the tightest and the widest bound on bodies that may hold for a request, and the newest version
+// that had to be in force when it was sent.
+func (c *checker) bodyLimits(request *Request) (tightest, widest, newest int) {
+	changes, newest := c.mayBeInForce(limitsItem, request.Sent-bodySendTime, request.Ended)
+	tightest = widestBody
+	for _, change := range changes {
+		tightest, widest = min(tightest, change.BodyBytes), max(widest, change.BodyBytes)
+	}
+	return tightest, widest, newest
+}
+
+// checkBody: the length of a body is judged by no older version than had to be in force when it was sent.
+func (c *checker) checkBody(request *Request) {
+	proxy := c.proxy(request)
+	if request.BodyBytes == 0 || request.End != Answered || !c.inTouch(proxy, request.Sent) {
+		return
+	}
+	tightest, widest, newest := c.bodyLimits(request)
+	denied := request.Status == http.StatusRequestEntityTooLarge && request.BodyBytes <= tightest
+	served := request.Status == http.StatusOK && request.BodyBytes > widest
+	if !denied && !served {
+		return
+	}
+	late := timed{
+		rule: ruleConfig, request: request.ID, process: proxy, from: request.Sent - configApply, to: request.Ended,
+	}
+	c.addTimed(late, "a body of %d bytes got %d, which only a version before %d allows",
+		request.BodyBytes, request.Status, newest)
+}
+
 // departure is what went on for a client that has left.
 type departure struct{ sentAfter, lasting, worked int }
 
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -33,6 +33,9 @@
 	pipelined = 3
 	// keyAttempts is how often an operation is tried under one key.
 	keyAttempts = 3
+	// longRest is a rest that outlasts config_apply; 1.8 times as much is within four fifths of the shortest
+	// idle time-out.
+	longRest = 3500 * time.Millisecond
 	// maxRetryAfter bounds what a client heeds of Retry-After.
 	maxRetryAfter = 300 * time.Millisecond
 )
@@ -110,6 +113,9 @@
 		mean = 10 * time.Millisecond
 	case sparse:
 		mean = 1500 * time.Millisecond
+		if c.rng.IntN(3) == 0 {
+			mean = longRest
+		}
 	}
 	return time.Duration((0.2 + 1.6*c.rng.Float64()) * float64(mean))
 }
@@ -191,10 +197,11 @@
 	}
 	if kinds[request.Kind].method == http.MethodPost {
 		length := c.rng.IntN(2000)
-		if c.behavior == bulky {
+		if c.behavior == bulky || c.behavior == sparse {
 			length = 50_000 + c.rng.IntN(200_000)
 		}
 		body = strings.Repeat("b", length)
+		request.BodyBytes = length
 	}
 	text := fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %d\r\n%s: %d\r\n%s: %x\r\n",
 		kinds[request.Kind].method, kinds[request.Kind].path, request.ID, hostName, headerRequestID, request.ID,
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -130,7 +130,9 @@
 
 // change draws a change of the configuration, or an evacuation.
 func (d *drawing) change(at time.Duration) {
-	all := []Action{Move, Move, Move, Retime, Retime, Idle, AddRoute, DropRoute, Invalid, Invalid, Race, Resend}
+	all := []Action{
+		Move, Move, Move, Retime, Retime, Idle, BodyLimit, AddRoute, DropRoute, Invalid, Invalid, Race, Resend,
+	}
 	action := all[d.rng.IntN(len(all))]
 	if d.rng.IntN(40) == 0 {
 		d.add(at, Evacuate, Target{}, d.about(4*time.Second))
--- a/internal/soak/entrance.go
+++ b/internal/soak/entrance.go
@@ -105,8 +105,6 @@
 type Lookups struct {
 	directories []string
 	client      *http.Client
-	// onAnswer is called with each answer.
-	onAnswer func(addresses []string)
 }
 
 // resolveAnswer is an answer of the directory.
@@ -123,7 +121,6 @@
 			directory, hostName, region, zones[rng.IntN(len(zones))])
 		var answer resolveAnswer
 		if getOK(context.Background(), l.client, url, &answer) && len(answer.Addresses) > 0 {
-			l.onAnswer(answer.Addresses)
 			return answer.Addresses
 		}
 	}
--- a/internal/soak/log.go
+++ b/internal/soak/log.go
@@ -68,6 +68,8 @@
 	// Sent is when the last byte was written, Ended when it was known how it ended.
 	Sent, Ended time.Duration
 	Deadline    time.Duration
+	// BodyBytes is the length of its body.
+	BodyBytes int
 	// Behind tells that another request of its connection was unanswered when it was sent.
 	Behind bool
 	End    End
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -43,11 +43,13 @@
 type Change struct {
 	Item    string
 	Version int
-	// Service is where a route goes, Content the whole item as it was sent.
-	Service string
-	Content string
-	Dropped bool
-	Sent    time.Duration
+	// Service is where a route goes, BodyBytes how large limits let a body be, Content the whole item as it
+	// was sent.
+	Service   string
+	BodyBytes int
+	Content   string
+	Dropped   bool
+	Sent      time.Duration
 	// AnsweredAt is when the result came.
 	AnsweredAt time.Duration
 	Result     Result
@@ -76,6 +78,9 @@
 	evacuations []*Evacuation
 	added       []string
 	addedCount  int
+	// idle and bodyBytes are the limits that were sent last.
+	idle      string
+	bodyBytes int
 	// last is the body of the last change that was acknowledged.
 	last string
 	// busy are the items with an order under way.
@@ -86,7 +91,7 @@
 func newOperator(addresses []string, log *Log, seed uint64) *Operator {
 	return &Operator{
 		addresses: addresses, log: log, client: shortLived(callTimeout), busy: map[string]bool{},
-		rng: rand.New(rand.NewPCG(seed, 0x6f70)),
+		rng: rand.New(rand.NewPCG(seed, 0x6f70)), idle: firstIdle, bodyBytes: widestBody,
 	}
 }
 
@@ -118,12 +123,6 @@
 	return `{"upserts":{"routes":{"column_names":` + routeColumns + `,"row_values":[` + row + `]}}}`
 }
 
-// limitsContent are the limits with an idle time-out.
-func limitsContent(idle string, version int) string {
-	return fmt.Sprintf(`{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout":"3000ms",`+
-		`"idle_timeout":"%s","version":%d}`, idle, version)
-}
-
 // routeTo is the route of a kind that goes to a service.
 func routeTo(kind Kind, service string) (to route) {
 	to = routeOf(kind)
@@ -164,8 +163,10 @@
 			Item: kindRoute(kind), Version: 1, Service: kindService(kind), Content: row, Result: Acknowledged,
 		})
 	}
-	limits := limitsContent("15s", 1)
-	o.changes = append(o.changes, &Change{Item: limitsItem, Version: 1, Content: limits, Result: Acknowledged})
+	limits := limitsContent(firstIdle, widestBody, 1)
+	o.changes = append(o.changes, &Change{
+		Item: limitsItem, Version: 1, BodyBytes: widestBody, Content: limits, Result: Acknowledged,
+	})
 	return `{"upserts":{"services":{"column_names":["name","health_check_path","max_connections","version"],` +
 		`"row_values":[` + strings.Join(serviceRows, ",") + `]},"routes":{"column_names":` + routeColumns +
 		`,"row_values":[` + strings.Join(routeRows, ",") + `]},"limits":` + limits + `}}`
@@ -213,11 +214,9 @@
 			return timed.row(version), timed.service
 		})
 	case Idle:
-		idle := o.pickString("8s", "15s", "30s")
-		o.send(ctx, limitsItem, func(version int) (*Change, string) {
-			content := limitsContent(idle, version)
-			return &Change{Content: content}, `{"upserts":{"limits":` + content + `}}`
-		})
+		o.setLimits(ctx, func() { o.idle = []string{"8s", firstIdle, "30s"}[o.rng.IntN(3)] })
+	case BodyLimit:
+		o.setLimits(ctx, func() { o.bodyBytes = widestBody + tightestBody - o.bodyBytes })
 	case AddRoute:
 		o.addRoute(ctx)
 	case DropRoute:
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -32,8 +32,9 @@
 	Move Action = "move"
 	// Retime changes time-outs and targets; they stay above what clients wait.
 	Retime Action = "retime"
-	// Idle changes the clients' idle time-out.
-	Idle Action = "idle"
+	// Idle changes the clients' idle time-out, BodyLimit how large a body may be.
+	Idle      Action = "idle"
+	BodyLimit Action = "body-limit"
 	// AddRoute and DropRoute add a route, or drop the one added first.
 	AddRoute  Action = "add-route"
 	DropRoute Action = "drop-route"
@@ -59,7 +60,7 @@
 var actions = map[Action]struct{ target, lasting bool }{
 	Term: {target: true}, TermTwice: {target: true}, Kill: {target: true}, HUP: {target: true},
 	Freeze: {target: true, lasting: true},
-	Move:   {}, Retime: {}, Idle: {}, AddRoute: {}, DropRoute: {}, Invalid: {}, Race: {}, Resend: {},
+	Move:   {}, Retime: {}, Idle: {}, BodyLimit: {}, AddRoute: {}, DropRoute: {}, Invalid: {}, Race: {}, Resend: {},
 	Evacuate: {lasting: true},
 	Drain:    {target: true}, Slow: {target: true, lasting: true}, BreakOff: {target: true, lasting: true},
 	Crash: {target: true, lasting: true},
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -130,7 +130,7 @@
 	s.readiness = newReadiness(checks, fronts)
 	s.entrance = s.readiness
 	if s.schedule.Shape == Directory {
-		s.entrance = &Lookups{directories: directories, client: shortLived(lookupTimeout), onAnswer: func([]string) {}}
+		s.entrance = &Lookups{directories: directories, client: shortLived(lookupTimeout)}
 	}
 }
 
--- a/internal/soak/usage.go
+++ b/internal/soak/usage.go
@@ -65,8 +65,9 @@
 
 // UsageTotal is what all processes of a role hold on average.
 type UsageTotal struct {
-	Role          Role  `json:"role"`
-	Before, After Usage `json:"-"`
+	Role   Role  `json:"role"`
+	Before Usage `json:"before"`
+	After  Usage `json:"after"`
 }
 
 // compareUsages are the means by role.
