Test of a lost leader: the lost one goes on after it was replaced

A leader that was stopped and continues answers what it was asked, as the leader of its term. The node stays with the newer one.

--- a/internal/proxy/leader_loss_test.go
+++ b/internal/proxy/leader_loss_test.go
@@ -33,6 +33,7 @@
 	mu         sync.Mutex
 	term       rpc.Term      // the term in which it leads, 0 while it does not
 	stopped    chan struct{} // while it is not nil, nothing is answered until it is closed
+	resume     func()        // ends what stopAnswering began; nil before
 	heartbeats chan time.Time
 }
 
@@ -99,8 +100,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	stopped := make(chan struct{})
-	c.stopped = stopped
-	t.Cleanup(func() { close(stopped) })
+	c.stopped, c.resume = stopped, sync.OnceFunc(func() { close(stopped) })
+	t.Cleanup(c.resume)
 }
 
 // fillAcceptQueue listens on an address and accepts nothing, with a full queue: connecting to it hangs.
@@ -238,6 +239,14 @@
 		if took > newLeaderBound {
 			t.Errorf("the node follows leader %d too late", next+1)
 		}
+		if resume := controllers[next-1].resume; resume != nil {
+			// The one before goes on, with what it was asked, and takes itself for the leader of its term.
+			resume()
+			controllers[next].awaitFollower(t)
+			if leader, _ := d.leader.currentLeader(); leader != controllers[next].address {
+				t.Errorf("the node has gone back to leader %d", next)
+			}
+		}
 	}
 }
 
