Test of a response that arrived during a pause: its connection is open before

What the test is about is a timeout that comes late while a response lies unread; for that the connection has to be open. It asserts the same as before.

--- a/internal/rpc/client_test.go
+++ b/internal/rpc/client_test.go
@@ -126,6 +126,11 @@
 		read bool
 	}{"stood still": {pauseThreshold + time.Second, true}, "only waited": {0, false}} {
 		client, gate := serveGated(t)
+		// The connection is open before, so that only the wait for the response has to fit the limit.
+		var opened GatedResponse
+		if err := client.Call("Gated.Ask", 0, &opened, 5*time.Second); err != nil {
+			t.Fatal(err)
+		}
 		looks := 0
 		client.clock = func() time.Duration {
 			if looks++; looks == 1 {
