A search for the leader asks each controller in its own time

Callers would be served by older routes at a node that finds its leader late or never.

Cause: a search asked all controllers in rounds. A round ended with the last answer or after 0.2 s, and whoever had not answered was asked anew with the next one. So each controller that is gone held up the questions to all others, and a leader that answers later than a round takes, while others answer in time, was never found: the time grew only where nobody answered.

Change: proxy.leaderSearch asks each controller again 40 to 80 ms after its answer and nobody else's; the time for a question grows for a controller that has not answered. All questions end with the search. Why this works: no question waits for another controller's answer.

TestLeaderQueryTimeoutGrowsUntilALeaderAnswers is TestLeaderQueryTimeoutGrowsUntilAnAnswer: the time-out is kept for each controller and is short again after its answer; its steps and values are the same. TestALeaderIsFoundOverASlowLink plays steps of a search in place of rounds, with the same assertions.

--- a/internal/proxy/leader_client.go
+++ b/internal/proxy/leader_client.go
@@ -64,7 +64,6 @@
 
 	mu              sync.Mutex // guards what follows
 	pendingReleases map[rpc.KeyClaim]bool
-	queryTimeout    LeaderQueryTimeout
 	term            rpc.Term
 	// leaderContext is the lifetime of calls to the leader; replaceLeader ends it.
 	leaderContext context.Context
@@ -201,7 +200,6 @@
 	l.term = term
 	l.lastHeard.Store(int64(l.clock.Now()))
 	l.leader.Store(&target)
-	l.queryTimeout.LeaderHeard()
 	return true
 }
 
@@ -210,7 +208,7 @@
 	for !l.isDone() {
 		leader, ctx := l.currentLeader()
 		if leader == "" || !l.HasLeader() {
-			l.findLeader("", 0)
+			l.recoverLeader("")
 			continue
 		}
 		update, err := l.heartbeat(ctx, leader, heartbeatHold, heartbeatTimeout)
@@ -219,21 +217,24 @@
 			continue
 		}
 		l.logLeaderLost(leader, err)
-		l.recoverLeader(ctx, leader)
+		// It is asked once more beside the search, which does not wait for it.
+		go func() { _, _ = l.heartbeat(ctx, leader, 0, heartbeatTimeout) }()
+		l.recoverLeader(leader)
 	}
 }
 
-// recoverLeader looks for the leader after a heartbeat to it has failed, until one is heard. The lost one is
-// asked once more beside the search, which does not wait for it.
-func (l *LeaderClient) recoverLeader(ctx context.Context, lost string) {
+// recoverLeader looks for the leader until one is heard. The lost one, "" for none, is not asked who leads while
+// it still counts as the leader.
+func (l *LeaderClient) recoverLeader(lost string) {
 	startedAt := l.clock.Now()
-	go func() { _, _ = l.heartbeat(ctx, lost, 0, heartbeatTimeout) }()
+	search := l.newSearch(0)
+	defer search.end()
 	for !l.isDone() && time.Duration(l.lastHeard.Load()) <= startedAt {
 		except := lost
 		if !l.HasLeader() {
 			except = ""
 		}
-		l.findLeader(except, 0)
+		search.step(except)
 	}
 }
 
--- a/internal/proxy/leader_search.go
+++ b/internal/proxy/leader_search.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// leaderSearchPause lies between two rounds of questions, and as much again at random.
-	leaderSearchPause = 40 * time.Millisecond
+	// leaderQueryPause lies between two questions to one controller, and as much again at random.
+	leaderQueryPause = 40 * time.Millisecond
 	// leaderSearchLimit bounds a search beside a heartbeat.
 	leaderSearchLimit = 2 * time.Second
 )
@@ -33,66 +33,107 @@
 	return addresses
 }
 
-// findLeader asks all controllers but one at once who leads, until one leads in a later
-// term than given or they have all answered or timed out, and reports whether the
-// leader's update was applied. The question is a small one: the update that a new leader
-// owes may take a thin link longer than a controller that is gone may be waited for.
-func (l *LeaderClient) findLeader(except string, after rpc.Term) (found bool) {
-	leader, answered := l.askForLeader(except, after)
-	if leader != "" {
-		update, err := l.heartbeat(context.Background(), leader, 0, firstUpdateTimeout)
-		if err == nil && update.IsLeader {
-			return true
-		}
-	}
-	if answered == 0 {
-		l.mu.Lock()
-		l.queryTimeout.NoAnswer()
-		l.mu.Unlock()
+// leaderSearch asks controllers who leads until one does. Each is asked in its own time: one that answers
+// late, or not at all, delays no question to another. It belongs to one goroutine, which calls end.
+type leaderSearch struct {
+	client *LeaderClient
+	// after is a term: only the leader of a later one is followed.
+	after rpc.Term
+	// queries are the questions to each controller, by its address; answers brings theirs.
+	queries map[string]*leaderQuery
+	answers chan leaderAnswer
+	// ctx is the lifetime of all questions; end is its cancel function.
+	ctx context.Context
+	end context.CancelFunc
+}
+
+// leaderQuery is what one controller is asked.
+type leaderQuery struct {
+	inFlight bool
+	timeout  LeaderQueryTimeout
+}
+
+// leaderAnswer is one controller's answer to the question who leads.
+type leaderAnswer struct {
+	address  string
+	response rpc.LeaderResponse
+	err      error
+}
+
+// newSearch begins a search for the leader of a later term than given.
+func (l *LeaderClient) newSearch(after rpc.Term) (search *leaderSearch) {
+	search = &leaderSearch{
+		client: l, after: after, queries: map[string]*leaderQuery{}, answers: make(chan leaderAnswer),
 	}
-	time.Sleep(leaderSearchPause + time.Duration(rand.Int63n(int64(leaderSearchPause))))
-	return false
+	search.ctx, search.end = context.WithCancel(context.Background())
+	return search
 }
 
-// askForLeader asks all controllers but one who leads and gives the first that does, if
-// any, and how many answered until then.
-func (l *LeaderClient) askForLeader(except string, after rpc.Term) (leader string, answered int) {
-	l.mu.Lock()
-	timeout := l.queryTimeout.Duration()
-	l.mu.Unlock()
-	asked := 0
-	// The channel has room for all answers, so that none that is not waited for blocks.
-	answers := make(chan leaderAnswer, len(l.candidates())+1)
-	for _, address := range l.candidates() {
-		if address == except || asked == cap(answers) {
-			continue
+// step asks all controllers but one that have answered what they were asked before, and takes answers until
+// the next questions are due. It reports whether a leader was found and its update applied. The question is
+// a small one: the update that a new leader owes may take a thin link longer than a question.
+func (s *leaderSearch) step(except string) (found bool) {
+	for _, address := range s.client.candidates() {
+		if address != except {
+			s.ask(address)
 		}
-		asked++
-		go func() {
-			var response rpc.LeaderResponse
-			err := l.clients.of(address, contactCalls).Call(rpc.MethodLeader, rpc.LeaderRequest{}, &response, timeout)
-			answers <- leaderAnswer{address, response, err}
-		}()
 	}
-	for ; asked > 0 && leader == ""; asked-- {
-		answer := <-answers
-		if answer.err != nil {
-			continue
+	due := time.NewTimer(leaderQueryPause + time.Duration(rand.Int63n(int64(leaderQueryPause))))
+	defer due.Stop()
+	for {
+		select {
+		case answer := <-s.answers:
+			if s.leads(answer) && s.client.followLeader(answer.address) {
+				return true
+			}
+		case <-due.C:
+			return false
 		}
-		answered++
-		l.state.AddControllers(answer.response.Controllers)
-		if answer.response.IsLeader && answer.response.Term > after && answer.response.Term >= l.state.Known().Term {
-			leader = answer.address
+	}
+}
+
+// ask sends a controller the question unless it has not answered the one before.
+func (s *leaderSearch) ask(address string) {
+	query := s.queries[address]
+	if query == nil {
+		query = &leaderQuery{}
+		s.queries[address] = query
+	}
+	if query.inFlight {
+		return
+	}
+	query.inFlight = true
+	timeout := query.timeout.Duration()
+	go func() {
+		answer := leaderAnswer{address: address}
+		answer.err = s.client.clients.of(address, contactCalls).CallContext(
+			s.ctx, rpc.MethodLeader, rpc.LeaderRequest{}, &answer.response, timeout,
+		)
+		select {
+		case s.answers <- answer:
+		case <-s.ctx.Done():
 		}
+	}()
+}
+
+// leads takes up an answer and reports whether it is that of the leader that is looked for.
+func (s *leaderSearch) leads(answer leaderAnswer) (leads bool) {
+	query := s.queries[answer.address]
+	query.inFlight = false
+	if answer.err != nil {
+		query.timeout.NoAnswer()
+		return false
 	}
-	return leader, answered
+	query.timeout.Answered()
+	state := s.client.state
+	state.AddControllers(answer.response.Controllers)
+	return answer.response.IsLeader && answer.response.Term > s.after && answer.response.Term >= state.Known().Term
 }
 
-// leaderAnswer is one controller's answer to the question who leads.
-type leaderAnswer struct {
-	address  string
-	response rpc.LeaderResponse
-	err      error
+// followLeader asks a new leader for its first update and reports whether it was applied.
+func (l *LeaderClient) followLeader(address string) (applied bool) {
+	update, err := l.heartbeat(context.Background(), address, 0, firstUpdateTimeout)
+	return err == nil && update.IsLeader
 }
 
 // searchForLeader looks for a new leader beside the heartbeat, which may be held open by
@@ -106,8 +147,10 @@
 	old := *l.leader.Load()
 	startedAt := l.clock.Now()
 	term := l.state.Known().Term
+	search := l.newSearch(term)
+	defer search.end()
 	for l.clock.Now()-startedAt < leaderSearchLimit && time.Duration(l.lastHeard.Load()) <= startedAt {
-		if l.findLeader(old, term) {
+		if search.step(old) {
 			l.clients.closeController(old)
 			return
 		}
--- a/internal/proxy/leader_timeout.go
+++ b/internal/proxy/leader_timeout.go
@@ -3,16 +3,16 @@
 import "time"
 
 const (
-	// minLeaderQueryTimeout is the time for the first queries, maxLeaderQueryTimeout for those after one
-	// that nobody answered.
+	// minLeaderQueryTimeout is the time for a first query, maxLeaderQueryTimeout for the one after a query
+	// that was not answered.
 	minLeaderQueryTimeout = 200 * time.Millisecond
 	maxLeaderQueryTimeout = 800 * time.Millisecond
 )
 
-// LeaderQueryTimeout is how long the query who leads may take. A controller that is gone may not be waited
-// for long; but a node whose link or processor is pressed receives every answer late, and with one short
-// time-out it would query for ever. So the time is long once nobody answered at all, and short again once
-// a leader answered.
+// LeaderQueryTimeout is how long a controller may take to answer who leads. A dial to one that is gone is
+// soon made anew, since it may be back; but one that is far away or pressed answers every query late, and
+// with one short time-out it would be asked for ever. So the time is long once a query was not answered, and
+// short again once one was. The zero value is ready.
 type LeaderQueryTimeout struct{ duration time.Duration }
 
 // Duration is how long the next query may take.
@@ -20,8 +20,8 @@
 	return max(minLeaderQueryTimeout, t.duration)
 }
 
-// NoAnswer notes that a query had no answer in time from any controller.
+// NoAnswer notes that a query had no answer in time.
 func (t *LeaderQueryTimeout) NoAnswer() { t.duration = maxLeaderQueryTimeout }
 
-// LeaderHeard notes that a leader answered.
-func (t *LeaderQueryTimeout) LeaderHeard() { t.duration = 0 }
+// Answered notes that a query was answered.
+func (t *LeaderQueryTimeout) Answered() { t.duration = 0 }
--- a/internal/proxy/leader_timeout_test.go
+++ b/internal/proxy/leader_timeout_test.go
@@ -7,7 +7,10 @@
 	"tinpin/internal/rpc"
 )
 
-func TestLeaderQueryTimeoutGrowsUntilALeaderAnswers(t *testing.T) {
+// maxSearchSteps of a search take as long as a first question may, and no longer than a later one.
+const maxSearchSteps = int(maxLeaderQueryTimeout / (2 * leaderQueryPause))
+
+func TestLeaderQueryTimeoutGrowsUntilAnAnswer(t *testing.T) {
 	var timeout LeaderQueryTimeout
 	for i, want := range []time.Duration{200, 800, 800} {
 		if got := timeout.Duration(); got != want*time.Millisecond {
@@ -15,9 +18,9 @@
 		}
 		timeout.NoAnswer()
 	}
-	timeout.LeaderHeard()
+	timeout.Answered()
 	if got := timeout.Duration(); got != minLeaderQueryTimeout {
-		t.Fatalf("after a leader was heard: %s", got)
+		t.Fatalf("after an answer: %s", got)
 	}
 }
 
@@ -52,17 +55,26 @@
 		controllers = append(controllers, rpc.Controller{InternalAddress: address})
 	}
 	d.state.AddControllers(controllers)
-	if d.leader.findLeader("", 0) {
-		t.Fatal("found a leader that has not answered")
+	search := d.leader.newSearch(0)
+	t.Cleanup(search.end)
+	slowTimeout := func() time.Duration { return search.queries[controllers[0].InternalAddress].timeout.Duration() }
+	for range maxSearchSteps {
+		if search.step("") {
+			t.Fatal("found a leader that has not answered")
+		}
 	}
-	if wait := d.leader.queryTimeout.Duration(); wait <= minLeaderQueryTimeout {
+	if wait := slowTimeout(); wait <= minLeaderQueryTimeout {
 		t.Fatalf("the next question may take only %s", wait)
 	}
 	close(slow.released)
-	if !d.leader.findLeader("", 0) || *d.leader.leader.Load() != controllers[0].InternalAddress {
+	found := false
+	for step := 0; step < maxSearchSteps && !found; step++ {
+		found = search.step("")
+	}
+	if !found || *d.leader.leader.Load() != controllers[0].InternalAddress {
 		t.Fatal("the leader was not found")
 	}
-	if wait := d.leader.queryTimeout.Duration(); wait != minLeaderQueryTimeout {
+	if wait := slowTimeout(); wait != minLeaderQueryTimeout {
 		t.Fatalf("after a leader was found: %s", wait)
 	}
 }
