Calls measure what has arrived by the monotonic clock

Cause: the time at which bytes last arrived was kept as wall-clock time; after a step of the clock a call with a large response was given up while it arrived, or waited up to its whole limit. Change: it is kept by the client's clock, as all other times of a call are.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -55,10 +55,9 @@
 	dial func(ctx context.Context, address string, wait time.Duration) (conn net.Conn, err error)
 	// clock is the monotonic time since the client was made.
 	clock func() time.Duration
-	// lastResponse is when the last response came, by that clock.
+	// lastResponse is when the last response came, lastRead when bytes last arrived, by that clock.
 	lastResponse atomic.Int64
-	// lastRead is when bytes last arrived, in nanoseconds of Unix time.
-	lastRead atomic.Int64
+	lastRead     atomic.Int64
 
 	mu sync.Mutex // guards what follows; never held while anything is waited for
 	// client is the open connection, attempt the one that is being made; at most one is set.
@@ -105,7 +104,7 @@
 func (c *Client) CallLarge(
 	ctx context.Context, method string, request, response any, limits Limits,
 ) (err error) {
-	p := pendingCall{client: c, begun: c.clock(), startedAt: time.Now(), limits: limits}
+	p := pendingCall{client: c, begun: c.clock(), limits: limits}
 	p.timer = time.NewTimer(p.shortest())
 	defer p.timer.Stop()
 	if ctx.Err() != nil {
@@ -147,11 +146,10 @@
 // pendingCall is the wait of one call.
 type pendingCall struct {
 	client *Client
-	// begun is when the call began by the client's clock, startedAt by the wall clock.
-	begun     time.Duration
-	startedAt time.Time
-	limits    Limits
-	timer     *time.Timer
+	// begun is when the call began by the client's clock.
+	begun  time.Duration
+	limits Limits
+	timer  *time.Timer
 }
 
 // shortest is how long the call waits if nothing arrives.
@@ -190,10 +188,7 @@
 	if p.limits.NoData >= p.limits.Total {
 		return 0
 	}
-	now := time.Now()
-	heardAt := time.Unix(0, p.client.lastRead.Load())
-	if heardAt.Before(p.startedAt) {
-		heardAt = p.startedAt
-	}
-	return min(p.limits.NoData-now.Sub(heardAt), p.limits.Total-now.Sub(p.startedAt))
+	now := p.client.clock()
+	heardAt := max(p.begun, time.Duration(p.client.lastRead.Load()))
+	return min(p.limits.NoData-(now-heardAt), p.limits.Total-(now-p.begun))
 }
--- a/internal/rpc/connection.go
+++ b/internal/rpc/connection.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/rpc"
-	"sync/atomic"
 	"time"
 )
 
@@ -141,7 +140,7 @@
 		c.backOff(err)
 	default:
 		c.dialBackoff, c.dialAgainAt = 0, time.Time{}
-		attempt.client = rpc.NewClientWithCodec(newClientCodec(watchedConn{countedConn{conn}, &c.lastRead}))
+		attempt.client = rpc.NewClientWithCodec(newClientCodec(watchedConn{countedConn{conn}, c.noteRead}))
 		c.client = attempt.client
 	}
 }
@@ -177,17 +176,19 @@
 	}
 }
 
-// watchedConn notes when bytes last arrived on a connection.
+// noteRead notes that bytes have arrived.
+func (c *Client) noteRead() { c.lastRead.Store(int64(c.clock())) }
+
+// watchedConn tells when bytes arrive on a connection.
 type watchedConn struct {
 	countedConn
-	// lastRead is in nanoseconds of Unix time.
-	lastRead *atomic.Int64
+	arrived func()
 }
 
 func (c watchedConn) Read(into []byte) (size int, err error) {
 	size, err = c.countedConn.Read(into)
 	if size > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+		c.arrived()
 	}
 	return size, err
 }
