Waits that end with a context stand once, in package await

Cause: the wait for a WaitGroup or the end of a context stood in frontend, proxy and rpc, the pause that ends with its context in proxy, soak and localcluster. Change: await.Group and await.Delay serve all. No change of behaviour.

--- a/internal/frontend/departures_test.go
+++ b/internal/frontend/departures_test.go
@@ -83,7 +83,7 @@
 	_, _ = io.WriteString(theirs, get("/safe/1", "a"))
 	receiveFrom(t, server.started)
 	conn.timeouts.Store(3)
-	await(t, func() bool { return conn.timeouts.Load() < 0 })
+	awaitCondition(t, func() bool { return conn.timeouts.Load() < 0 })
 	_ = theirs.Close()
 	if cause := receiveFrom(t, server.ended); cause != ErrClientLeft {
 		t.Fatal(cause)
@@ -128,5 +128,5 @@
 	if cause := receiveFrom(t, server.ended); cause != errAnswered {
 		t.Fatal(cause)
 	}
-	await(t, func() bool { return server.InFlight() == 0 })
+	awaitCondition(t, func() bool { return server.InFlight() == 0 })
 }
--- a/internal/frontend/draining.go
+++ b/internal/frontend/draining.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync/atomic"
 	"time"
+
+	"tinpin/internal/await"
 )
 
 // A server ends in three steps. After StartDraining each response closes its connection. Drain stops
@@ -62,22 +64,7 @@
 	s.CloseListener()
 	s.closingIdle.Store(true)
 	s.wakeIdle()
-	return s.awaitConns(ctx)
-}
-
-// awaitConns waits until all connections have ended, or the context has.
-func (s *Server) awaitConns(ctx context.Context) (ended bool) {
-	done := make(chan struct{})
-	go func() {
-		s.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return await.Group(ctx, &s.running)
 }
 
 // Interrupt ends the lifetime of all requests, and waits until their connections have ended or the
@@ -94,7 +81,7 @@
 		_ = c.netConn.SetWriteDeadline(now.Add(interruptedWriteTimeout))
 	}
 	s.mu.Unlock()
-	s.awaitConns(ctx)
+	await.Group(ctx, &s.running)
 }
 
 // interrupted tells that the lifetime of all requests has ended.
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -61,8 +61,8 @@
 	return response, string(data), err
 }
 
-// await gives others their turn until a condition holds.
-func await(t *testing.T, holds func() bool) {
+// awaitCondition gives others their turn until a condition holds.
+func awaitCondition(t *testing.T, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); !holds(); runtime.Gosched() {
 		if time.Now().After(end) {
@@ -88,7 +88,7 @@
 	if _, body, err := receive(t, firstIn); err != nil || body != "body of one" {
 		t.Fatal(body, err)
 	}
-	await(t, func() bool {
+	awaitCondition(t, func() bool {
 		server.mu.Lock()
 		defer server.mu.Unlock()
 		for v, since := range server.conns {
@@ -103,7 +103,7 @@
 	if _, err := firstIn.ReadByte(); err != io.EOF {
 		t.Fatalf("the idle connection was not closed: %v", err)
 	}
-	await(t, func() bool { return server.InFlight() > 0 })
+	awaitCondition(t, func() bool { return server.InFlight() > 0 })
 	third, thirdIn := dial(t, address)
 	_, _ = io.WriteString(third, get("/once/1", "more"))
 	response, _, err := receive(t, thirdIn)
--- a/internal/localcluster/requests.go
+++ b/internal/localcluster/requests.go
@@ -8,8 +8,13 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"tinpin/internal/await"
 )
 
+// pollInterval lies between two looks at a condition.
+const pollInterval = 20 * time.Millisecond
+
 // CallerHeader names the session of a request.
 const CallerHeader = "X-Caller"
 
@@ -31,7 +36,7 @@
 				return status, answer, nil
 			}
 		}
-		if err = pause(ctx); err != nil {
+		if err = pollPause(ctx); err != nil {
 			return 0, "", err
 		}
 	}
@@ -53,19 +58,18 @@
 	return response.StatusCode, string(data), Class.Wrap(err)
 }
 
-func pause(ctx context.Context) (err error) {
-	select {
-	case <-ctx.Done():
+// pollPause waits until a condition is worth another look, or the context ends.
+func pollPause(ctx context.Context) (err error) {
+	if !await.Delay(ctx, pollInterval) {
 		return Class.Wrap(ctx.Err())
-	case <-time.After(20 * time.Millisecond):
-		return nil
 	}
+	return nil
 }
 
 // Until polls until a condition holds or the context ends.
 func Until(ctx context.Context, holds func() bool) (err error) {
 	for !holds() {
-		if err = pause(ctx); err != nil {
+		if err = pollPause(ctx); err != nil {
 			return err
 		}
 	}
--- a/internal/proxy/bandwidth.go
+++ b/internal/proxy/bandwidth.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"tinpin/internal/await"
 )
 
 const (
@@ -61,7 +63,7 @@
 func (r *limitedReader) Read(into []byte) (size int, err error) {
 	size, err = r.from.Read(into[:min(len(into), bandwidthChunk)])
 	if wait := r.limiter.reserve(r.limiter.clock.Now(), size); wait > 0 {
-		_ = pause(r.ctx, wait)
+		_ = await.Delay(r.ctx, wait)
 	}
 	return size, err
 }
--- a/internal/proxy/claims.go
+++ b/internal/proxy/claims.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"tinpin/internal/await"
 	"tinpin/internal/rpc"
 )
 
@@ -47,7 +48,7 @@
 		if elapsed+wait > limit || !unknown && elapsed+wait > leaderWait {
 			break
 		}
-		if !pause(ctx, wait) {
+		if !await.Delay(ctx, wait) {
 			break
 		}
 	}
@@ -89,7 +90,7 @@
 			return result
 		}
 		go l.searchForLeader()
-		if l.clock.Now()-startedAt+wait > min(leaderWait, limit) || !pause(ctx, wait) {
+		if l.clock.Now()-startedAt+wait > min(leaderWait, limit) || !await.Delay(ctx, wait) {
 			return result
 		}
 	}
@@ -202,6 +203,6 @@
 
 // AwaitReleases waits until the leader has acknowledged all keys that were given back, or the context ends.
 func (l *LeaderClient) AwaitReleases(ctx context.Context) {
-	for len(l.nextReleases()) > 0 && pause(ctx, releaseCheckInterval) {
+	for len(l.nextReleases()) > 0 && await.Delay(ctx, releaseCheckInterval) {
 	}
 }
--- a/internal/proxy/departure_test.go
+++ b/internal/proxy/departure_test.go
@@ -166,9 +166,9 @@
 	_, _ = io.WriteString(conn, patientRequest("POST", route+"x", "a", "Content-Length: 0", key))
 	awaitSignal(t, h.arrived, "the arrival of the request")
 	leave(t, conn)
-	await(t, func() bool { return d.frontend.Departures().Clients.Load() == 1 })
+	awaitCondition(t, func() bool { return d.frontend.Departures().Clients.Load() == 1 })
 	close(h.gate)
-	await(t, func() bool { return d.frontend.InFlight() == 0 })
+	awaitCondition(t, func() bool { return d.frontend.InFlight() == 0 })
 }
 
 // What has not been sent when its client leaves is not sent any more, whatever the kind of its
@@ -199,13 +199,13 @@
 		}
 		conn, _ := dialFrontend(t, d)
 		_, _ = io.WriteString(conn, patientRequest("GET", "/long/x", "a"))
-		await(t, func() bool { return d.frontend.InFlight() == 1 })
+		awaitCondition(t, func() bool { return d.frontend.InFlight() == 1 })
 		leave(t, conn)
-		await(t, func() bool { return d.frontend.Departures().Clients.Load() == 1 })
+		awaitCondition(t, func() bool { return d.frontend.Departures().Clients.Load() == 1 })
 		for range minConcurrency {
 			limiter.Release()
 		}
-		await(t, func() bool { return d.frontend.InFlight() == 0 })
+		awaitCondition(t, func() bool { return d.frontend.InFlight() == 0 })
 		if backend.count() != 0 {
 			t.Error("a request that waited was sent after its client had left")
 		}
@@ -281,7 +281,7 @@
 		leave(t, conn)
 		awaitSignal(t, backend.ended, "the end of the request")
 	}
-	await(t, func() bool { return d.frontend.InFlight() == 0 })
+	awaitCondition(t, func() bool { return d.frontend.InFlight() == 0 })
 	target := d.state.Snapshot().Services["s"][0]
 	target.mu.Lock()
 	defer target.mu.Unlock()
@@ -314,9 +314,9 @@
 	_, _ = io.WriteString(conn, patientRequest("POST", "/longkey/x", "a", "Content-Length: 0", key))
 	awaitSignal(t, asked, "the claim")
 	leave(t, conn)
-	await(t, func() bool { return d.frontend.InFlight() == 0 })
+	awaitCondition(t, func() bool { return d.frontend.InFlight() == 0 })
 	close(gate)
-	await(t, func() bool {
+	awaitCondition(t, func() bool {
 		coordinator.mu.Lock()
 		defer coordinator.mu.Unlock()
 		return slices.Contains(coordinator.released, rpc.KeyClaim{Key: "k", Request: "a"})
@@ -407,8 +407,8 @@
 	}
 }
 
-// await gives others their turn until a condition holds.
-func await(t *testing.T, holds func() bool) {
+// awaitCondition gives others their turn until a condition holds.
+func awaitCondition(t *testing.T, holds func() bool) {
 	t.Helper()
 	for end := time.Now().Add(departureTimeout); !holds(); runtime.Gosched() {
 		if time.Now().After(end) {
--- a/internal/proxy/execute.go
+++ b/internal/proxy/execute.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tinpin/internal/apierror"
+	"tinpin/internal/await"
 	"tinpin/internal/config"
 	"tinpin/internal/message"
 	"tinpin/internal/rpc"
@@ -47,7 +48,7 @@
 		if !d.mayWaitForCapacity(plan) {
 			return response, plan.errorKind(apierror.Overloaded)
 		}
-		if !pause(ctx, capacityPollInterval) {
+		if !await.Delay(ctx, capacityPollInterval) {
 			return response, endedKind(ctx, plan)
 		}
 	}
@@ -92,7 +93,7 @@
 			return response, plan.errorKind(kind)
 		}
 		if backend == nil {
-			_ = pause(ctx, capacityPollInterval)
+			_ = await.Delay(ctx, capacityPollInterval)
 			continue
 		}
 		if arrivals > 0 && !d.allowRetry(now, plan, backend) {
@@ -119,7 +120,7 @@
 		case StepRetry:
 			if plan.BoundBackend != "" {
 				// The retry goes to the same backend, which gets a moment to recover capacity.
-				_ = pause(ctx, capacityPollInterval)
+				_ = await.Delay(ctx, capacityPollInterval)
 			}
 		}
 	}
--- a/internal/proxy/keyed.go
+++ b/internal/proxy/keyed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tinpin/internal/apierror"
+	"tinpin/internal/await"
 	"tinpin/internal/config"
 	"tinpin/internal/healthcheck"
 	"tinpin/internal/idempotency"
@@ -69,7 +70,7 @@
 			reply := d.recallFromHolder(ctx, plan.Key, claim)
 			released := reply.State == rpc.OperationReleased
 			if released && retries < maxClaimRetries && d.clock.Now()+limit/2 < plan.Deadline {
-				if pause(ctx, d.recallPause) {
+				if await.Delay(ctx, d.recallPause) {
 					continue
 				}
 			}
--- a/internal/proxy/lifetime.go
+++ b/internal/proxy/lifetime.go
@@ -11,18 +11,6 @@
 // sent is broken off only where the request may run more than once: of any other the outcome has
 // still to be learned.
 
-// pause waits for some time; it returns false when the lifetime ended before.
-func pause(ctx context.Context, wait time.Duration) (passed bool) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // longAgo as a deadline makes reads and writes fail at once.
 var longAgo = time.Unix(1, 0)
 
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tinpin/internal/apierror"
+	"tinpin/internal/await"
 	"tinpin/internal/config"
 	"tinpin/internal/directory"
 	"tinpin/internal/eventlog"
@@ -63,15 +64,8 @@
 func (d *Daemon) finishKeys(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, releaseCallTimeout)
 	defer cancel()
-	stored := make(chan struct{})
-	go func() {
-		d.storing.Wait()
-		close(stored)
-	}()
-	select {
-	case <-stored:
+	if await.Group(ctx, &d.storing) {
 		d.leader.AwaitReleases(ctx)
-	case <-ctx.Done():
 	}
 }
 
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -7,6 +7,8 @@
 	"net/rpc"
 	"sync"
 	"time"
+
+	"tinpin/internal/await"
 )
 
 // acceptRetryDelay is the pause after a failed accept. It may have failed for want of
@@ -88,15 +90,7 @@
 		_ = conn.SetReadDeadline(time.Now())
 	}
 	s.mu.Unlock()
-	answered := make(chan struct{})
-	go func() {
-		s.serving.Wait()
-		close(answered)
-	}()
-	select {
-	case <-answered:
-	case <-ctx.Done():
-	}
+	await.Group(ctx, &s.serving)
 	s.Close()
 }
 
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"tinpin/internal/await"
 )
 
 const (
@@ -99,7 +101,7 @@
 			continue
 		}
 		c.act()
-		if !pause(ctx, c.think()) {
+		if !await.Delay(ctx, c.think()) {
 			return
 		}
 	}
@@ -323,14 +325,14 @@
 	}
 	address := c.pick(now)
 	if address == "" {
-		pause(ctx, 50*time.Millisecond)
+		await.Delay(ctx, 50*time.Millisecond)
 		return false
 	}
 	conn, err := net.DialTimeout("tcp4", address, dialTimeout)
 	if err != nil {
 		c.system.counts.refused.Add(1)
 		c.failedAt[address] = now
-		pause(ctx, 10*time.Millisecond)
+		await.Delay(ctx, 10*time.Millisecond)
 		return false
 	}
 	c.conn = &clientConn{Conn: conn, in: bufio.NewReader(conn), proxy: c.system.proxyAt(address)}
--- a/internal/soak/entrance.go
+++ b/internal/soak/entrance.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"tinpin/internal/await"
 )
 
 const (
@@ -58,7 +60,7 @@
 		checking.Go(func() {
 			for ctx.Err() == nil {
 				r.check(ctx, i)
-				pause(ctx, checkInterval)
+				await.Delay(ctx, checkInterval)
 			}
 		})
 	}
@@ -143,15 +145,3 @@
 	}
 	return into == nil || json.NewDecoder(response.Body).Decode(into) == nil
 }
-
-// pause waits for a time; it returns false where the context ends before.
-func pause(ctx context.Context, wait time.Duration) (passed bool) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"tinpin/internal/await"
 )
 
 const (
@@ -298,7 +300,7 @@
 		if status/100 == 2 || status/100 == 4 && !comeAgain {
 			return status
 		}
-		pause(ctx, orderPause)
+		await.Delay(ctx, orderPause)
 	}
 	return 0
 }
@@ -420,7 +422,7 @@
 		evacuation.Acknowledged = o.log.Now()
 		o.mu.Unlock()
 	}
-	pause(ctx, lasting)
+	await.Delay(ctx, lasting)
 	o.mu.Lock()
 	evacuation.TakenBack = o.log.Now()
 	o.mu.Unlock()
@@ -440,7 +442,7 @@
 		if status == http.StatusOK {
 			return parseDescription(answer)
 		}
-		pause(ctx, orderPause)
+		await.Delay(ctx, orderPause)
 	}
 	return nil, errNotDescribed
 }
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"tinpin/internal/await"
 )
 
 // Play starts everything, plays the schedule, and checks what was seen. It returns an
@@ -58,7 +60,7 @@
 		clients.Go(func() { newClient(s, number+1).run(sending) })
 	}
 	for _, event := range s.schedule.Events {
-		if !pause(sending, event.At-s.log.Now()) {
+		if !await.Delay(sending, event.At-s.log.Now()) {
 			break
 		}
 		s.counts.events.Add(1)
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"sync"
 	"time"
+
+	"tinpin/internal/await"
 )
 
 const (
@@ -194,7 +196,7 @@
 	defer stop()
 	go s.readiness.Run(checking)
 	for !s.readiness.allReady() {
-		if !pause(ctx, 50*time.Millisecond) {
+		if !await.Delay(ctx, 50*time.Millisecond) {
 			return Class.New("not all proxies are ready after %v", startTimeout)
 		}
 	}
--- a/internal/soak/watch.go
+++ b/internal/soak/watch.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"tinpin/internal/await"
 )
 
 const (
@@ -56,7 +58,7 @@
 // watchGaps looks at this program's own turns.
 func (w *Watch) watchGaps(ctx context.Context) {
 	last := w.log.Now()
-	for pause(ctx, gapInterval) {
+	for await.Delay(ctx, gapInterval) {
 		now := w.log.Now()
 		if now-last > maxGap {
 			w.add(Span{From: last, To: now, What: "this program got no turn"})
@@ -68,7 +70,7 @@
 // watchStarving looks how long the threads of each process have waited while they could run.
 func (w *Watch) watchStarving(ctx context.Context) {
 	waited, last := map[int]time.Duration{}, w.log.Now()
-	for pause(ctx, starveInterval) {
+	for await.Delay(ctx, starveInterval) {
 		now := w.log.Now()
 		for _, process := range w.processes {
 			pid := process.PID()
