--- a/internal/membership/policy_model_test.go
+++ b/internal/membership/policy_model_test.go
@@ -81,7 +81,7 @@
 		losses        int
 		voters, spare int
 		dead, leaving string
-		before, least int // losses borne before, and at the worst instant
+		before, worst int // losses borne before, and at the worst instant
 		after         int
 		jointOnly     int // most sets of survivors at an instant that only joint consensus bears
 		oursOnly      int // most sets that only this order bears
@@ -95,40 +95,26 @@
 		{"5, one dead, one leaves", 2, 5, 2, "e", "d", 1, 1, 2, 1, 15},
 	} {
 		moments, living := instants(c.losses, group(c.voters, c.spare), c.dead, c.leaving)
-		joint := instant{moments[0].old, moments[len(moments)-1].new}
-		least, jointOnly, oursOnly := c.voters, 0, 0
+		last := len(moments) - 1
+		joint := instant{moments[0].old, moments[last].new}
+		worst, jointOnly, oursOnly := c.voters, 0, 0
 		for at, moment := range moments {
-			least = min(least, moment.bears(living))
-			onlyJoint, onlyOurs := 0, 0
-			for survivors := set(0); survivors <= living; survivors++ {
-				if survivors&^living != 0 {
-					continue
-				}
-				if ours, both := moment.elects(survivors), joint.elects(survivors); both && !ours {
-					onlyJoint++
-				} else if ours && !both {
-					onlyOurs++
-				}
-				for _, voters := range []set{moment.old, moment.new} {
-					if !survivors.majorityOf(voters) {
-						continue
-					}
-					for acked := set(0); acked < 1<<(c.voters+c.spare); acked++ {
-						if (acked.majorityOf(moment.old) || acked.majorityOf(moment.new)) && survivors&acked == 0 {
-							t.Fatalf("%s, instant %d: %b elects and holds nothing that %b acknowledged", c.name, at, survivors, acked)
-						}
-					}
-				}
-			}
-			if at == 0 || at == len(moments)-1 {
+			worst = min(worst, moment.bears(living))
+			requireNothingLost(t, c.name, moment, living, 1<<(c.voters+c.spare))
+			if at == 0 || at == last {
 				continue
 			}
+			onlyJoint, onlyOurs := compare(moment, joint, living)
 			jointOnly, oursOnly = max(jointOnly, onlyJoint), max(oursOnly, onlyOurs)
-			t.Logf("%s: %06b to %06b bears %d, joint %d; sets borne by joint alone %d, by this alone %d", c.name, moment.old, moment.new, moment.bears(living), joint.bears(living), onlyJoint, onlyOurs)
+			t.Logf("%s: %06b to %06b bears %d, joint %d; sets borne by joint alone %d, by this alone %d", c.name,
+				moment.old, moment.new, moment.bears(living), joint.bears(living), onlyJoint, onlyOurs)
+		}
+		before, after, jointBears := moments[0].bears(living), moments[last].bears(living), joint.bears(living)
+		if before != c.before || worst != c.worst || after != c.after {
+			t.Errorf("%s: bears %d before, %d at worst, %d after", c.name, before, worst, after)
 		}
-		before, after := moments[0].bears(living), moments[len(moments)-1].bears(living)
-		if before != c.before || least != c.least || after != c.after || least < before || joint.bears(living) > least {
-			t.Errorf("%s: bears %d before, %d at least, %d after; joint %d", c.name, before, least, after, joint.bears(living))
+		if worst < before || jointBears > worst {
+			t.Errorf("%s: bears %d before, %d at worst; joint %d", c.name, before, worst, jointBears)
 		}
 		if jointOnly != c.jointOnly || oursOnly != c.oursOnly {
 			t.Errorf("%s: joint alone %d, this alone %d", c.name, jointOnly, oursOnly)
@@ -136,6 +122,40 @@
 	}
 }
 
+// requireNothingLost fails a test if some survivors can elect and hold nothing that others, of all sets below
+// limit, acknowledged.
+func requireNothingLost(t *testing.T, name string, moment instant, living, limit set) {
+	t.Helper()
+	for survivors := set(0); survivors <= living; survivors++ {
+		if survivors&^living != 0 || !survivors.majorityOf(moment.old) && !survivors.majorityOf(moment.new) {
+			continue
+		}
+		for acked := set(0); acked < limit; acked++ {
+			if (acked.majorityOf(moment.old) || acked.majorityOf(moment.new)) && survivors&acked == 0 {
+				t.Fatalf("%s, %b to %b: %b elects and holds nothing that %b acknowledged", name,
+					moment.old, moment.new, survivors, acked)
+			}
+		}
+	}
+}
+
+// compare counts the sets of survivors that can elect under joint consensus alone, and at this instant alone.
+func compare(moment, joint instant, living set) (onlyJoint, onlyOurs int) {
+	for survivors := set(0); survivors <= living; survivors++ {
+		if survivors&^living != 0 {
+			continue
+		}
+		ours, both := moment.elects(survivors), joint.elects(survivors)
+		if both && !ours {
+			onlyJoint++
+		}
+		if ours && !both {
+			onlyOurs++
+		}
+	}
+	return onlyJoint, onlyOurs
+}
+
 // The other order bears less: the model finds it.
 func TestOtherOrdersBearLess(t *testing.T) {
 	three, living := set(0b0111), set(0b1111)
--- a/internal/membership/policy_test.go
+++ b/internal/membership/policy_test.go
@@ -7,7 +7,7 @@
 	"tinpin/internal/raft"
 )
 
-// viewOf makes a roll of members that are all heard and have all, but for
+// viewOf makes a view of members that are all in contact and have all, but for
 // those named as dead, leaving or behind.
 func viewOf(members []raft.Member, dead, leaving, behind string) (view View) {
 	within := func(ids string, id raft.ID) bool {
@@ -22,7 +22,7 @@
 		Self: members[0].ID, Members: members,
 		Leaving:  func(id raft.ID) bool { return within(leaving, id) },
 		CaughtUp: func(id raft.ID) bool { return !within(dead, id) && !within(behind, id) },
-		SinceHeard: func(id raft.ID) int {
+		SinceContact: func(id raft.ID) int {
 			if within(dead, id) {
 				return 1 << 20
 			}
@@ -31,6 +31,14 @@
 	}
 }
 
+// requireChange fails a test unless a decision is the change of a member.
+func requireChange(t *testing.T, decision Decision, change Change, member raft.ID) {
+	t.Helper()
+	if decision.Change != change || decision.Member.ID != member {
+		t.Errorf("%s %s, want %s %s", decision.Change, decision.Member.ID, change, member)
+	}
+}
+
 // group gives members a, b, c and so on: first voters, then learners.
 func group(voters, learners int) (members []raft.Member) {
 	for i := 0; i < voters+learners; i++ {
@@ -40,15 +48,6 @@
 	return members
 }
 
-func countVoters(members []raft.Member) (voters int) {
-	for _, member := range members {
-		if member.Voter {
-			voters++
-		}
-	}
-	return voters
-}
-
 // With three founders of five cores, two losses must leave a majority: the
 // other two are made voters as soon as they have the log.
 func TestAllThatTheLossesAskForVote(t *testing.T) {
@@ -118,10 +117,16 @@
 func TestTimesFollowTheSettings(t *testing.T) {
 	for _, c := range []struct {
 		catchUp time.Duration
-		silence int
-	}{{4 * time.Second, 40}, {6 * time.Second, 60}, {40 * time.Second, 400}, {0, 3 * raft.ElectionTicks}, {time.Second, 3 * raft.ElectionTicks}} {
-		if silence := NewPolicy(1, 0, c.catchUp).VoterTimeout; silence != c.silence {
-			t.Errorf("catch_up %v: silence of %d ticks, want %d", c.catchUp, silence, c.silence)
+		timeout int
+	}{
+		{4 * time.Second, 40},
+		{6 * time.Second, 60},
+		{40 * time.Second, 400},
+		{0, 3 * raft.ElectionTicks},
+		{time.Second, 3 * raft.ElectionTicks},
+	} {
+		if timeout := NewPolicy(1, 0, c.catchUp).VoterTimeout; timeout != c.timeout {
+			t.Errorf("catch_up %v: a timeout of %d ticks, want %d", c.catchUp, timeout, c.timeout)
 		}
 	}
 }
@@ -131,27 +136,23 @@
 func TestNewerLifeEndsTheOlder(t *testing.T) {
 	members := group(3, 1)
 	members[3].Inner = "c"
-	silence := map[raft.ID]int{"c": raft.ElectionTicks}
+	sinceContact := map[raft.ID]int{"c": raft.ElectionTicks}
 	view := viewOf(members, "", "", "")
-	view.SinceHeard = func(id raft.ID) int { return silence[id] }
+	view.SinceContact = func(id raft.ID) int { return sinceContact[id] }
 	if decision := NewPolicy(1, 0, 4*time.Second).Decide(view); decision.Change != NoChange {
 		t.Errorf("between two beats the older life went: %s %s", decision.Change, decision.Member.ID)
 	}
-	silence["c"]++
-	if decision := NewPolicy(1, 0, 4*time.Second).Decide(view); decision.Change != Remove || decision.Member.ID != "c" {
-		t.Errorf("%s %s", decision.Change, decision.Member.ID)
-	}
-	silence["c"], silence["d"] = 0, 30
+	sinceContact["c"]++
+	requireChange(t, NewPolicy(1, 0, 4*time.Second).Decide(view), Remove, "c")
+	sinceContact["c"], sinceContact["d"] = 0, 30
 	view.CaughtUp = func(id raft.ID) bool { return id != "d" }
 	if decision := NewPolicy(1, 0, 4*time.Second).Decide(view); decision.Change != NoChange {
 		t.Errorf("the life that is heard went: %s %s", decision.Change, decision.Member.ID)
 	}
 	members = append(group(3, 2), raft.Member{ID: "f", Inner: "d"})
 	view = viewOf(members, "", "", "ef")
-	view.SinceHeard = func(id raft.ID) int { return map[raft.ID]int{"d": raft.ElectionTicks + 1}[id] }
-	if decision := NewPolicy(1, 0, 4*time.Second).Decide(view); decision.Change != Remove || decision.Member.ID != "d" {
-		t.Errorf("%s %s", decision.Change, decision.Member.ID)
-	}
+	view.SinceContact = func(id raft.ID) int { return map[raft.ID]int{"d": raft.ElectionTicks + 1}[id] }
+	requireChange(t, NewPolicy(1, 0, 4*time.Second).Decide(view), Remove, "d")
 }
 
 func TestZonesDecideTies(t *testing.T) {
@@ -160,25 +161,21 @@
 		members[i].Site = zone
 	}
 	// Of two dead, the one goes whose zone has the most voters.
-	if decision := NewPolicy(1, 1, 0).Decide(viewOf(members, "bc", "", "")); decision.Change != Remove || decision.Member.ID != "b" {
-		t.Errorf("%s %s", decision.Change, decision.Member.ID)
-	}
+	requireChange(t, NewPolicy(1, 1, 0).Decide(viewOf(members, "bc", "", "")), Remove, "b")
 	members[1].Voter = false
 	for zones, id := range map[int]raft.ID{0: "b", 1: "e"} {
-		if decision := NewPolicy(1, zones, 0).Decide(viewOf(members, "", "", "")); decision.Change != Promote || decision.Member.ID != id {
-			t.Errorf("%d zones: %s %s, want %s", zones, decision.Change, decision.Member.ID, id)
-		}
+		requireChange(t, NewPolicy(1, zones, 0).Decide(viewOf(members, "", "", "")), Promote, id)
 	}
 }
 
-func TestImpossibleNewcomers(t *testing.T) {
+func TestImpossibleCandidates(t *testing.T) {
 	membership := NewPolicy(1, 0, 0)
 	members := group(3, 1)
 	for _, c := range []struct {
-		name     string
-		newcomer raft.Member
-		members  []raft.Member
-		refused  bool
+		name      string
+		candidate raft.Member
+		members   []raft.Member
+		rejected  bool
 	}{
 		{"fit", raft.Member{ID: "x", Inner: "x"}, members, false},
 		{"no id", raft.Member{Inner: "x"}, members, true},
@@ -186,15 +183,19 @@
 		{"a member again", raft.Member{ID: "b", Inner: "b"}, members, false},
 		{"a member's id elsewhere", raft.Member{ID: "b", Inner: "x"}, members, true},
 		{"too many learners", raft.Member{ID: "x", Inner: "x"}, group(3, membership.MaxLearners), true},
-		{"too many learners, a newer life of one", raft.Member{ID: "x", Inner: "d"}, group(3, membership.MaxLearners), false},
+		{
+			"too many learners, a newer process of one",
+			raft.Member{ID: "x", Inner: "d"},
+			group(3, membership.MaxLearners), false,
+		},
 	} {
-		if why := membership.RejectReason(c.members, c.newcomer); (why != "") != c.refused {
+		if why := membership.RejectReason(c.members, c.candidate); (why != "") != c.rejected {
 			t.Errorf("%s: %q", c.name, why)
 		}
 		view := viewOf(c.members, "", "", "")
-		view.Joining = []raft.Member{c.newcomer}
+		view.Joining = []raft.Member{c.candidate}
 		decision := membership.Decide(view)
-		if admitted := decision.Change == AddLearner; admitted && (c.refused || c.name == "a member again") {
+		if admitted := decision.Change == AddLearner; admitted && (c.rejected || c.name == "a member again") {
 			t.Errorf("%s: admitted", c.name)
 		}
 		seen := map[raft.ID]bool{}
@@ -208,8 +209,9 @@
 	voting := raft.Member{ID: "x", Inner: "x", Voter: true}
 	view := viewOf(members, "", "", "")
 	view.Joining = []raft.Member{voting}
-	if decision := membership.Decide(view); decision.Change != AddLearner || decision.Member.Voter || countVoters(decision.Next) != 3 {
-		t.Error("a newcomer came with a vote of its own making")
+	decision := membership.Decide(view)
+	if decision.Change != AddLearner || decision.Member.Voter || countVoters(decision.Next) != 3 {
+		t.Error("a candidate came with a vote of its own making")
 	}
 }
 
@@ -230,7 +232,8 @@
 		{"two learners, two leavers", group(3, 2), "", "c", "", true},
 		{"already raised", group(4, 0), "", "", "", true},
 	} {
-		if near := NewPolicy(1, 0, 4*time.Second).HasSuccessor(viewOf(c.members, c.dead, c.leaving, c.behind), "b"); near != c.near {
+		view := viewOf(c.members, c.dead, c.leaving, c.behind)
+		if near := NewPolicy(1, 0, 4*time.Second).HasSuccessor(view, "b"); near != c.near {
 			t.Errorf("%s: %v", c.name, near)
 		}
 	}
@@ -241,13 +244,13 @@
 	}
 }
 
-// A core that was struck out must be heard without a gap before it votes
+// A controller that was removed must be in contact without a gap before it votes
 // again, each time for longer; one that stays is forgiven.
-func TestStrikesHoldFlappersBack(t *testing.T) {
+func TestFailuresHoldFlappersBack(t *testing.T) {
 	membership := NewPolicy(1, 0, 4*time.Second)
 	last := 0
-	for strike := 0; strike < 4; strike++ {
-		if strike > 0 {
+	for failure := 0; failure < 4; failure++ {
+		if failure > 0 {
 			lost := viewOf(group(3, 0), "c", "", "")
 			membership.Record(lost, Decision{Change: Remove, Member: lost.Members[2]})
 			membership.Decide(lost)
@@ -257,16 +260,20 @@
 		waited := 0
 		for ; waited < 1000; waited++ {
 			view := viewOf(members, "", "", "")
-			view.Tick = 10000*strike + waited
+			view.Tick = 10000*failure + waited
 			if membership.Decide(view).Change == Promote {
 				break
 			}
 		}
-		if want := map[bool]int{true: 0, false: membership.VoterTimeout << max(strike-1, 0)}[strike == 0]; waited != want {
-			t.Errorf("after %d strikes: raised after %d ticks, want %d", strike, waited, want)
+		want := 0
+		if failure > 0 {
+			want = membership.VoterTimeout << (failure - 1)
+		}
+		if waited != want {
+			t.Errorf("after %d failures: promoted after %d ticks, want %d", failure, waited, want)
 		}
-		if strike > 1 && waited <= last {
-			t.Errorf("strike %d waits no longer than the one before", strike)
+		if failure > 1 && waited <= last {
+			t.Errorf("after failure %d it waits no longer than after the one before", failure)
 		}
 		last = waited
 	}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -114,7 +114,7 @@
 	}
 	view.Self, view.Tick, view.Members, view.CaughtUp = n.self.ID, n.ticks, n.raft.Members(), n.raft.CaughtUp
 	view.Leaving = func(id raft.ID) bool { _, leaving := n.leaving[id]; return leaving }
-	view.SinceHeard = func(id raft.ID) int { ticks, _ := n.raft.SinceHeard(id); return ticks }
+	view.SinceContact = func(id raft.ID) int { ticks, _ := n.raft.SinceHeard(id); return ticks }
 	return view
 }
 
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -393,7 +393,7 @@
 	}
 	sort.Slice(roll.Joining, func(i, j int) bool { return roll.Joining[i].ID < roll.Joining[j].ID })
 	roll.Leaving = func(id raft.ID) bool { return s.leaving[id] }
-	roll.SinceHeard = func(id raft.ID) int { ticks, _ := core.raft.SinceHeard(id); return ticks }
+	roll.SinceContact = func(id raft.ID) int { ticks, _ := core.raft.SinceHeard(id); return ticks }
 	return roll
 }
 
--- a/internal/simulation/membership.go
+++ b/internal/simulation/membership.go
@@ -73,7 +73,7 @@
 	}
 	view.Self, view.Tick, view.Members, view.CaughtUp = c.member.ID, c.ticks, c.raft.Members(), c.raft.CaughtUp
 	view.Leaving = func(id raft.ID) bool { _, leaving := c.leaving[id]; return leaving }
-	view.SinceHeard = func(id raft.ID) int { ticks, _ := c.raft.SinceHeard(id); return ticks }
+	view.SinceContact = func(id raft.ID) int { ticks, _ := c.raft.SinceHeard(id); return ticks }
 	return view
 }
 
@@ -97,7 +97,7 @@
 // shrink is the injected bug of a voter that is removed without a replacement.
 func (c *Controller) shrink(view membership.View, usual membership.Decision) (decision membership.Decision) {
 	for i, member := range view.Members {
-		if member.Voter && member.ID != view.Self && view.SinceHeard(member.ID) > 12 {
+		if member.Voter && member.ID != view.Self && view.SinceContact(member.ID) > 12 {
 			c.membership.Voters = 2
 			rest := append(append([]raft.Member(nil), view.Members[:i]...), view.Members[i+1:]...)
 			return membership.Decision{Change: membership.Remove, Member: member, Next: rest}
