Test of the local cluster: a drain is traced on every node before its effect is asked for

Cause: TestLocalCluster failed once beside a load of 30 ("trace [backend i-1]: false", a trace 203 ms after the listing: the leader has the backend as draining, the nodes not yet). The trace was then asked for once, at whatever moment. Change: the test waits until the trace shows the change on every node, as draining, and then no request may go to the backend, at the first try.

--- a/internal/localcluster/cluster_test.go
+++ b/internal/localcluster/cluster_test.go
@@ -46,17 +46,6 @@
 		t.Fatalf("a call cut short got %d", status)
 	}
 	cluster.Drain("i-1")
-	err = Until(ctx, func() bool {
-		before := cluster.Backends[0].Runs.Load()
-		for i := range 12 {
-			_, _ = cluster.Request(ctx, i%2, "GET", "/hello/you", "")
-		}
-		return cluster.Backends[0].Runs.Load() == before
-	})
-	if err != nil {
-		t.Fatal("the draining backend is still used")
-	}
-
 	var out bytes.Buffer
 	var fleet *diagnostics.Fleet
 	inspect := func() {
@@ -65,6 +54,23 @@
 		}
 		out.Reset()
 	}
+	// Once the trace shows that every node has applied the change, none uses the backend any more.
+	err = Until(ctx, func() bool {
+		inspect()
+		applied, _ := fleet.Trace(&out, "backend", "i-1")
+		return applied && strings.Contains(out.String(), "draining")
+	})
+	if err != nil {
+		t.Fatalf("not every node has applied that the backend drains:\n%s", out.String())
+	}
+	before := cluster.Backends[0].Runs.Load()
+	for i := range 12 {
+		_, _ = cluster.Request(ctx, i%2, "GET", "/hello/you", "")
+	}
+	if cluster.Backends[0].Runs.Load() != before {
+		t.Fatal("the draining backend is still used")
+	}
+
 	err = Until(ctx, func() bool {
 		inspect()
 		good, _ := fleet.Status(&out, false)
