--- a/internal/localcluster/retirement_test.go
+++ b/internal/localcluster/retirement_test.go
@@ -28,19 +28,8 @@
 // edges and the leader is stopped in between: once the order is acknowledged no
 // new caller reaches it, and every operation ran once or was refused.
 func TestRetirementUnderLoad(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
-	defer cancel()
-	cluster, err := Start(t.TempDir(), Hosts())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer cluster.Close()
-	if _, _, err = cluster.Operator(ctx, "POST", "/-/Config.Update", InitialConfiguration); err != nil {
-		t.Fatal(err)
-	}
-	if err = cluster.Ready(ctx); err != nil {
-		t.Fatal(err)
-	}
+	test := startCluster(t, Hosts())
+	ctx, cluster := test.ctx, test.cluster
 	client := &adminclient.Client{Wait: 30 * time.Second}
 	for _, config := range cluster.ControllerSettings {
 		client.Addresses = append(client.Addresses, config.ControlAddress)
@@ -62,7 +51,7 @@
 	}
 	document := `{"version":1,"rules":[{"service":"nobody","notice":"0s","finish":"5s",` +
 		`"keyed":"deadline","least_share":0}],"lost_touch":"2s","cut_off":"stop"}`
-	_, err = runCommand("drain", "check", writeDocument(t, document))
+	_, err := runCommand("drain", "check", writeDocument(t, document))
 	mustReject(t, err, `unknown service "nobody"`)
 	document = `{"version":3,"rules":[{"service":"*","notice":"100ms","finish":"5s",` +
 		`"keyed":"deadline","least_share":0.5}],"lost_touch":"2s","cut_off":"stop"}`
--- a/internal/localcluster/sessions_test.go
+++ b/internal/localcluster/sessions_test.go
@@ -19,19 +19,8 @@
 // startWithOperator has a whole system and the operator's desk ready for a test.
 func startWithOperator(t *testing.T) (ctx context.Context, cluster *Cluster, runCommand commandRunner) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
-	t.Cleanup(cancel)
-	cluster, err := Start(t.TempDir(), Hosts())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(cluster.Close)
-	if _, _, err = cluster.Operator(ctx, "POST", "/-/Config.Update", InitialConfiguration); err != nil {
-		t.Fatal(err)
-	}
-	if err = cluster.Ready(ctx); err != nil {
-		t.Fatal(err)
-	}
+	test := startCluster(t, Hosts())
+	ctx, cluster = test.ctx, test.cluster
 	client := &adminclient.Client{}
 	for _, config := range cluster.ControllerSettings {
 		client.Addresses = append(client.Addresses, config.ControlAddress)
