Test of a retirement under load: steps with names in place of a function of 159 lines

Change: the operator's commands, the clients with keys and each step are functions of clusterTest; the assertions are the same.

--- a/internal/localcluster/retirement_test.go
+++ b/internal/localcluster/retirement_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"tinpin/internal/adminclient"
-	"tinpin/internal/diagnostics"
 )
 
 func writeDocument(t *testing.T, body string) (path string) {
@@ -24,158 +23,198 @@
 	return path
 }
 
-// A backend is retired from a whole system while keyed clients press both
-// edges and the leader is stopped in between: once the order is acknowledged no
-// new caller reaches it, and every operation ran once or was refused.
-func TestRetirementUnderLoad(t *testing.T) {
-	test := startCluster(t, Hosts())
-	ctx, cluster := test.ctx, test.cluster
+// command runs an operator's command twice: the same again changes nothing. A moment without a leader may lie
+// before either.
+func (t *clusterTest) command(subject, verb string, words ...string) (output string, err error) {
 	client := &adminclient.Client{Wait: 30 * time.Second}
-	for _, config := range cluster.ControllerSettings {
+	for _, config := range t.cluster.ControllerSettings {
 		client.Addresses = append(client.Addresses, config.ControlAddress)
 	}
 	var out bytes.Buffer
-	runCommand := func(subject, verb string, words ...string) (output string, err error) {
-		// Each call is made twice: the same again changes nothing. A moment without a
-		// leader may lie before either.
-		for range 2 {
-			if untilErr := Until(ctx, func() bool {
-				out.Reset()
-				_, err = client.Run(ctx, &out, subject, verb, words)
-				return err == nil || strings.Contains(err.Error(), "refused")
-			}); untilErr != nil {
-				return out.String(), untilErr
+	for range 2 {
+		if untilErr := Until(t.ctx, func() bool {
+			out.Reset()
+			_, err = client.Run(t.ctx, &out, subject, verb, words)
+			return err == nil || strings.Contains(err.Error(), "refused")
+		}); untilErr != nil {
+			return out.String(), untilErr
+		}
+	}
+	return out.String(), err
+}
+
+// mustCommand runs a command that must be accepted.
+func (t *clusterTest) mustCommand(subject, verb string, words ...string) (output string) {
+	t.Helper()
+	output, err := t.command(subject, verb, words...)
+	if err != nil {
+		t.Fatal(output, err)
+	}
+	return output
+}
+
+// mustRejectCommand runs a command that must be rejected for a reason.
+func (t *clusterTest) mustRejectCommand(reason, subject, verb string, words ...string) {
+	t.Helper()
+	_, err := t.command(subject, verb, words...)
+	mustReject(t.T, err, reason)
+}
+
+// keyedLoad is clients that send keyed requests one after the other until they are stopped.
+type keyedLoad struct {
+	stop     chan struct{}
+	running  sync.WaitGroup
+	statuses []map[int]int
+}
+
+// startKeyedLoad starts clients at both edges.
+func (t *clusterTest) startKeyedLoad(clients int) (load *keyedLoad) {
+	load = &keyedLoad{stop: make(chan struct{}), statuses: make([]map[int]int, clients)}
+	for client := range load.statuses {
+		load.statuses[client] = map[int]int{}
+		load.running.Go(func() { t.sendKeys(load, client) })
+	}
+	return load
+}
+
+// sendKeys is one client; a request without an answer counts under -1.
+func (t *clusterTest) sendKeys(load *keyedLoad, client int) {
+	for n := 0; ; n++ {
+		select {
+		case <-load.stop:
+			return
+		default:
+		}
+		key := fmt.Sprintf("press-%d-%d", client, n)
+		response, err := t.cluster.Request(t.ctx, client%2, "POST", "/pay/x", key)
+		status := response.Status
+		if err != nil {
+			status = -1
+		}
+		load.statuses[client][status]++
+	}
+}
+
+// mustEndClean stops the clients; each request was answered with 200 or 503.
+func (l *keyedLoad) mustEndClean(t *testing.T) {
+	t.Helper()
+	close(l.stop)
+	l.running.Wait()
+	for client, counts := range l.statuses {
+		for status := range counts {
+			if status != 200 && status != 503 {
+				t.Errorf("client %d: %v", client, counts)
 			}
 		}
-		return out.String(), err
 	}
+}
+
+// A backend is retired from a whole system while keyed clients press both
+// edges and the leader is stopped in between: once the order is acknowledged no
+// new caller reaches it, and every operation ran once or was refused.
+func TestRetirementUnderLoad(t *testing.T) {
+	test := startCluster(t, Hosts())
+	test.setDrainPolicy()
+	retired := test.cluster.Backends[2]
+	before := test.retireUnderLoad(retired, test.cluster.Backends[3])
+	test.retirementIsShown()
+	test.mustCommand("drain", "restore", retired.ID)
+	if err := Until(test.ctx, func() bool {
+		_, _ = test.cluster.Request(test.ctx, 0, "POST", "/pay/y", fmt.Sprint("back-", time.Now().UnixNano()))
+		return retired.Runs.Load() > before
+	}); err != nil {
+		t.Fatal("the backend that was taken back gets nothing")
+	}
+	test.dayPlanIsKept()
+	response, err := test.cluster.Request(test.ctx, 1, "GET", "/hello/you", "")
+	if err != nil || response.Status != 200 {
+		t.Fatal(response, err)
+	}
+}
+
+// setDrainPolicy sets a policy, after commands that must be rejected.
+func (t *clusterTest) setDrainPolicy() {
+	t.Helper()
 	document := `{"version":1,"rules":[{"service":"nobody","notice":"0s","finish":"5s",` +
 		`"keyed":"deadline","least_share":0}],"lost_touch":"2s","cut_off":"stop"}`
-	_, err := runCommand("drain", "check", writeDocument(t, document))
-	mustReject(t, err, `unknown service "nobody"`)
+	t.mustRejectCommand(`unknown service "nobody"`, "drain", "check", writeDocument(t.T, document))
 	document = `{"version":3,"rules":[{"service":"*","notice":"100ms","finish":"5s",` +
 		`"keyed":"deadline","least_share":0.5}],"lost_touch":"2s","cut_off":"stop"}`
-	if _, err = runCommand("drain", "set", writeDocument(t, document)); err != nil {
-		t.Fatal(err)
-	}
-	_, err = runCommand("drain", "retire", "i-99")
-	mustReject(t, err, "not on the platform's list")
-	for _, backend := range cluster.Backends {
+	t.mustCommand("drain", "set", writeDocument(t.T, document))
+	t.mustRejectCommand("not on the platform's list", "drain", "retire", "i-99")
+}
+
+// retireUnderLoad retires a backend while clients send keys and the leader is stopped, and gives how many runs
+// it had when the order was acknowledged. What was at work may still end; nothing new may begin.
+func (t *clusterTest) retireUnderLoad(retired, other *Backend) (runs int64) {
+	t.Helper()
+	for _, backend := range t.cluster.Backends {
 		backend.WorkTime.Store(int64(15 * time.Millisecond))
 	}
-	stopLoad := make(chan struct{})
-	var load sync.WaitGroup
-	statuses := make([]map[int]int, 6)
-	for client := range statuses {
-		statuses[client] = map[int]int{}
-		load.Add(1)
-		go func() {
-			defer load.Done()
-			for n := 0; ; n++ {
-				select {
-				case <-stopLoad:
-					return
-				default:
-				}
-				key := fmt.Sprintf("press-%d-%d", client, n)
-				response, askErr := cluster.Request(ctx, client%2, "POST", "/pay/x", key)
-				status := response.Status
-				if askErr != nil {
-					status = -1
-				}
-				statuses[client][status]++
-			}
-		}()
-	}
-	retired := cluster.Backends[2]
-	if err = Until(ctx, func() bool { return retired.Runs.Load() > 5 }); err != nil {
+	load := t.startKeyedLoad(6)
+	if err := Until(t.ctx, func() bool { return retired.Runs.Load() > 5 }); err != nil {
 		t.Fatal("nothing reaches the backend")
 	}
-	var fleet *diagnostics.Fleet
-	if fleet, err = diagnostics.Inspect(cluster.InternalAddresses()); err != nil {
-		t.Fatal(err)
-	}
-	leader := fleet.Leader().Name
+	t.inspect()
+	leader := t.fleet.Leader().Name
 	done := make(chan error, 1)
+	var output string
 	go func() {
-		_, retireErr := runCommand("drain", "retire", retired.ID)
-		done <- retireErr
+		var err error
+		output, err = t.command("drain", "retire", retired.ID)
+		done <- err
 	}()
-	cluster.StopController(leader)
-	if err = <-done; err != nil || !strings.Contains(out.String(), "together") {
-		t.Fatal(err, out.String())
-	}
-	// What was at work may still end; nothing new may begin.
-	before := retired.Runs.Load()
-	beside := cluster.Backends[3].Runs.Load()
-	if err = Until(ctx, func() bool { return cluster.Backends[3].Runs.Load() > beside+40 }); err != nil {
+	t.cluster.StopController(leader)
+	if err := <-done; err != nil || !strings.Contains(output, "together") {
+		t.Fatal(err, output)
+	}
+	runs = retired.Runs.Load()
+	beside := other.Runs.Load()
+	if err := Until(t.ctx, func() bool { return other.Runs.Load() > beside+40 }); err != nil {
 		t.Fatal("the other backend gets nothing")
 	}
-	if after := retired.Runs.Load(); after > before {
-		t.Fatalf("%d new callers reached the retired backend", after-before)
+	if after := retired.Runs.Load(); after > runs {
+		t.Fatalf("%d new callers reached the retired backend", after-runs)
 	}
-	close(stopLoad)
-	load.Wait()
-	for _, backend := range cluster.Backends {
-		for key, runs := range backend.Keys() {
-			if runs != 1 {
-				t.Errorf("%s ran %d times", key, runs)
+	load.mustEndClean(t.T)
+	for _, backend := range t.cluster.Backends {
+		for key, count := range backend.Keys() {
+			if count != 1 {
+				t.Errorf("%s ran %d times", key, count)
 			}
 		}
 	}
-	for client, counts := range statuses {
-		for status := range counts {
-			if status != 200 && status != 503 {
-				t.Errorf("client %d: %v", client, counts)
-			}
-		}
-	}
-	_, err = runCommand("drain", "retire", "i-4")
-	mustReject(t, err, "the last of service")
-	output, showErr := runCommand("drain", "show")
-	if showErr != nil || !strings.Contains(output, "i-3") || !strings.Contains(output, "version 3") {
-		t.Fatal(output, showErr)
-	}
-	if fleet, err = diagnostics.Inspect(cluster.InternalAddresses()); err != nil {
-		t.Fatal(err)
-	}
-	out.Reset()
-	_, err = fleet.Trace(&out, "retirement", "i-3")
-	if err != nil || !strings.Contains(out.String(), "edge-2") || !strings.Contains(out.String(), "stopped") {
-		t.Fatal(err, out.String())
-	}
-	if _, err = runCommand("drain", "restore", "i-3"); err != nil {
-		t.Fatal(err)
-	}
-	if err = Until(ctx, func() bool {
-		_, _ = cluster.Request(ctx, 0, "POST", "/pay/y", fmt.Sprint("back-", time.Now().UnixNano()))
-		return retired.Runs.Load() > before
-	}); err != nil {
-		t.Fatal("the backend that was taken back gets nothing")
-	}
+	return runs
+}
+
+// retirementIsShown looks at a retirement with the operator's tools.
+func (t *clusterTest) retirementIsShown() {
+	t.Helper()
+	t.mustRejectCommand("the last of service", "drain", "retire", "i-4")
+	output, err := t.command("drain", "show")
+	mustContain(t.T, output, err, "i-3", "version 3")
+	t.inspect()
+	_, err = t.fleet.Trace(&t.out, "retirement", "i-3")
+	mustContain(t.T, t.out.String(), err, "edge-2", "stopped")
+}
+
+// dayPlanIsKept sets a day plan, waits until its weights are in force, and withdraws it.
+func (t *clusterTest) dayPlanIsKept() {
+	t.Helper()
 	plan := `{"version":%d,"step":1,"every":"1s","room":1,"targets":[{"host":"shop.example","time_zone":"UTC",` +
 		`"spans":[{"from":"00:00","to":"12:00","weights":{"%s":1},"ramp":"0s"},` +
 		`{"from":"12:00","to":"24:00","weights":{"coast":1},"ramp":"0s"}]}]}`
-	_, err = runCommand("plan", "set", writeDocument(t, fmt.Sprintf(plan, 1, "moon")))
-	mustReject(t, err, `unknown region "moon"`)
-	if _, err = runCommand("plan", "set", writeDocument(t, fmt.Sprintf(plan, 2, "coast"))); err != nil {
-		t.Fatal(err)
-	}
-	err = Until(ctx, func() bool {
-		output, _ := runCommand("plan", "show")
+	t.mustRejectCommand(`unknown region "moon"`, "plan", "set", writeDocument(t.T, fmt.Sprintf(plan, 1, "moon")))
+	t.mustCommand("plan", "set", writeDocument(t.T, fmt.Sprintf(plan, 2, "coast")))
+	var output string
+	if err := Until(t.ctx, func() bool {
+		output, _ = t.command("plan", "show")
 		return strings.Contains(output, "coast:1000")
-	})
-	if err != nil {
-		t.Fatal(out.String())
-	}
-	_, err = runCommand("plan", "set", writeDocument(t, fmt.Sprintf(plan, 1, "coast")))
-	mustReject(t, err, "version 1 is not above 2")
-	if _, err = runCommand("plan", "withdraw", "3"); err != nil {
-		t.Fatal(err)
-	}
-	if response, askErr := cluster.Request(ctx, 1, "GET", "/hello/you", ""); askErr != nil || response.Status != 200 {
-		t.Fatal(response, askErr)
+	}); err != nil {
+		t.Fatal(output)
 	}
+	t.mustRejectCommand("version 1 is not above 2", "plan", "set", writeDocument(t.T, fmt.Sprintf(plan, 1, "coast")))
+	t.mustCommand("plan", "withdraw", "3")
 }
 
 // mustReject checks that a command was rejected for a reason.
