Soak: controllers lose power; connections to them hang until they are back

Change: action power-off kills a controller and has its addresses neither refuse nor answer for 1.2 to 11 s. A proxy counts as in touch only while more than half of the controllers run. The address that hangs is a package (testutil/hanging) that the test of a lost leader uses too.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -103,8 +103,17 @@
 func (c *checker) proxy(request *Request) *Process { return c.Proxies[request.Proxy-1] }
 
 // inTouch tells that a proxy and the controllers were left alone for contact before a
-// time, and up to it.
+// time, and up to it, and that more than half of the controllers ran.
 func (c *checker) inTouch(proxy *Process, at time.Duration) bool {
+	down := 0
+	for _, controller := range c.Controllers {
+		if controller.lifeAt(at) == nil {
+			down++
+		}
+	}
+	if down > (len(c.Controllers)-1)/2 {
+		return false
+	}
 	for _, process := range append([]*Process{proxy}, c.Controllers...) {
 		if process.disturbedWithin(at-contact, at) || process.frozenWithin(at-contact, at) {
 			return false
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -116,10 +116,14 @@
 // controllers draws something that happens to controllers, one after the other: no
 // more at once than may be lost.
 func (d *drawing) controllers(at time.Duration) {
-	action := []Action{Term, Term, Kill, Freeze, HUP}[d.rng.IntN(5)]
+	action := []Action{Term, Term, Kill, Freeze, HUP, PowerOff, PowerOff}[d.rng.IntN(7)]
 	lasting := time.Duration(0)
-	if action == Freeze {
+	switch action {
+	case Freeze:
 		lasting = d.about(1500 * time.Millisecond)
+	case PowerOff:
+		// Often longer than contact, so that what the others do without it counts.
+		lasting = d.about(2 * contact)
 	}
 	d.add(at, action, d.some(ControllerRole, d.size.Controllers, 0)[0], lasting)
 	if action == Term && d.rng.IntN(2) == 0 {
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -100,6 +100,8 @@
 		process.HangUp()
 	case Freeze:
 		process.Freeze(event.For)
+	case PowerOff:
+		process.PowerOff(event.For)
 	}
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"tinpin/internal/testutil/hanging"
 )
 
 const (
@@ -53,6 +55,8 @@
 	folder  string
 	log     *Log
 	grace   time.Duration
+	// addresses are those that others connect to.
+	addresses []string
 
 	mu       sync.Mutex // guards what follows
 	settings map[string]any
@@ -63,8 +67,10 @@
 	// which it stood still.
 	disturbed []time.Duration
 	frozen    []Span
-	ending    bool
-	done      chan struct{}
+	// offUntil is until when the machine has no power.
+	offUntil time.Duration
+	ending   bool
+	done     chan struct{}
 }
 
 // writeSettings writes the settings file. The caller holds the lock.
@@ -130,10 +136,14 @@
 	life.Ended, life.ExitCode = p.log.Now(), command.ProcessState.ExitCode()
 	p.disturbed = append(p.disturbed, life.Ended)
 	p.command = nil
-	again := !p.ending
+	again, off := !p.ending, p.offUntil-p.log.Now()
 	p.mu.Unlock()
 	close(done)
-	if again {
+	switch {
+	case !again:
+	case off > restartDelay:
+		p.stayOff(off)
+	default:
 		time.AfterFunc(restartDelay, func() { _ = p.Start() })
 	}
 }
@@ -229,6 +239,33 @@
 	p.signal(syscall.SIGKILL, p.noteKill)
 }
 
+// PowerOff kills the process as a machine does that loses power: until it starts again after a time, connections
+// to it hang.
+func (p *Process) PowerOff(lasting time.Duration) {
+	p.signal(syscall.SIGKILL, func(life *Life) (wanted bool) {
+		p.offUntil = p.log.Now() + lasting
+		return p.noteKill(life)
+	})
+}
+
+// stayOff has connections to the process hang for a time, and then starts its next life. An address on which
+// that fails refuses them.
+func (p *Process) stayOff(lasting time.Duration) {
+	end := time.Now().Add(lasting)
+	var hangs []*hanging.Address
+	for _, address := range p.addresses {
+		if hang, err := hanging.Listen(address); err == nil {
+			hangs = append(hangs, hang)
+		}
+	}
+	time.AfterFunc(time.Until(end), func() {
+		for _, hang := range hangs {
+			hang.Close()
+		}
+		_ = p.Start()
+	})
+}
+
 // noteKill notes that a life is killed.
 func (p *Process) noteKill(life *Life) (wanted bool) {
 	life.Kill = p.log.Now()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -24,6 +24,8 @@
 	TermTwice Action = "term-twice"
 	// Kill sends SIGKILL.
 	Kill Action = "kill"
+	// PowerOff sends SIGKILL, and connections to the process hang until it starts again after For.
+	PowerOff Action = "power-off"
 	// HUP writes settings with the seeds in another order, and sends SIGHUP.
 	HUP Action = "hup"
 	// Freeze sends SIGSTOP, and SIGCONT after For.
@@ -59,8 +61,8 @@
 // actions that are known, with whether they have a target and a time.
 var actions = map[Action]struct{ target, lasting bool }{
 	Term: {target: true}, TermTwice: {target: true}, Kill: {target: true}, HUP: {target: true},
-	Freeze: {target: true, lasting: true},
-	Move:   {}, Retime: {}, Idle: {}, BodyLimit: {}, AddRoute: {}, DropRoute: {}, Invalid: {}, Race: {}, Resend: {},
+	Freeze: {target: true, lasting: true}, PowerOff: {target: true, lasting: true},
+	Move: {}, Retime: {}, Idle: {}, BodyLimit: {}, AddRoute: {}, DropRoute: {}, Invalid: {}, Race: {}, Resend: {},
 	Evacuate: {lasting: true},
 	Drain:    {target: true}, Slow: {target: true, lasting: true}, BreakOff: {target: true, lasting: true},
 	Crash: {target: true, lasting: true},
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -28,6 +28,9 @@
 	memoryMB                                                            = 256
 )
 
+// internalPorts are the lowest and the highest port between daemons; controllers listen on the lowest.
+var internalPorts = []int{17720, 17735}
+
 // System is the processes and stand-ins of one play.
 type System struct {
 	schedule    Schedule
@@ -105,7 +108,9 @@
 		settings := s.settings(fmt.Sprintf("core-%d", i+1), host, i, seeds)
 		settings["listen"] = map[string]string{"control_plane": controls[i]}
 		settings["data_directory"] = filepath.Join(s.folder, settings["name"].(string), "data")
-		s.Controllers = append(s.Controllers, s.process(program, Target{ControllerRole, i + 1}, settings))
+		controller := s.process(program, Target{ControllerRole, i + 1}, settings)
+		controller.addresses = []string{controls[i], fmt.Sprintf("%s:%d", host, internalPorts[0])}
+		s.Controllers = append(s.Controllers, controller)
 	}
 	var checks, fronts, directories []string
 	for i := range size.Proxies {
@@ -141,7 +146,7 @@
 	return map[string]any{
 		"name": name, "address": host, "zone": zones[n%2], "region": region,
 		"zone_regions": map[string]string{zones[0]: region, zones[1]: region},
-		"first_start":  true, "internal_ports": []int{17720, 17735}, "seeds": append([]string{}, seeds...),
+		"first_start":  true, "internal_ports": internalPorts, "seeds": append([]string{}, seeds...),
 		"memory_mb": memoryMB, "max_file_descriptors": 4096, "metrics_address": host + ":19464",
 		"platform":      map[string]any{"address": s.network.host(platformHost) + ":18169", "rate_per_s": 200},
 		"send_interval": "2s", "health_check_interval": "1s", "endpoint_list_interval": "300ms",
