A server that is drained right after it began to listen waits for its accept loop

Cause: frontend.Server counted its accept loop inside the loop's own goroutine. A node that was told to stop before that goroutine had its turn waited for a count of zero and took itself for drained. With the old way to begin the loop the test below fails 5 of 5.

Change: Server.Serve counts the loop and then starts it. Why this works: the count is above zero from before Listen returns until the loop has ended, and only the loop adds to it. The same looked for: rpc.Server counts a connection under the lock that its Shutdown takes first; the goroutines of node are counted before they begin.

Result: TestDrainingWaitsForALoopThatHasNotBegun passes (20 of 20); the package passes under the race detector.

--- a/internal/frontend/draining_test.go
+++ b/internal/frontend/draining_test.go
@@ -43,7 +43,7 @@
 	}
 	server = New(held.handle, func() *config.RoutingTable { return view }, 100, 1<<20)
 	server.listener = listener
-	go server.Serve(listener)
+	server.Serve(listener)
 	t.Cleanup(func() { server.CloseListener(); server.CloseConns() })
 	return server, listener.Addr().String(), held
 }
@@ -55,6 +55,41 @@
 	return drained
 }
 
+// heldListener accepts nothing, and its end is seen only once it is let go.
+type heldListener struct {
+	net.Listener
+	letGo chan struct{}
+}
+
+func (l heldListener) Accept() (conn net.Conn, err error) {
+	<-l.letGo
+	return nil, net.ErrClosed
+}
+
+func (l heldListener) Close() (err error) { return nil }
+
+// A server that is drained right after it began to listen waits for the loop that accepts: it counted as ended
+// while that loop had not had its turn yet.
+func TestDrainingWaitsForALoopThatHasNotBegun(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	synctest.Test(t, func(t *testing.T) {
+		view := config.New().RoutingTable()
+		held := heldListener{letGo: make(chan struct{})}
+		server := New(nil, func() *config.RoutingTable { return view }, 100, 1<<20)
+		server.listener = held
+		server.Serve(held)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if server.Drain(ctx) {
+			t.Error("it counts as drained while it accepts")
+		}
+		close(held.letGo)
+		if !server.Drain(t.Context()) {
+			t.Error("it does not end with its listener")
+		}
+	})
+}
+
 // What waits for a request is closed, what is being read is served, and draining ends with the last
 // connection: not before, and without a wait for the client to leave an idle one.
 func TestDrainingEndsWithTheLastConnection(t *testing.T) {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -91,14 +91,18 @@
 	if s.listener, err = rpc.Listen(address, 5*time.Second); err != nil {
 		return err
 	}
-	go s.Serve(s.listener)
+	s.Serve(s.listener)
 	return nil
 }
 
-// Serve accepts connections until the listener closes.
+// Serve accepts connections, in a goroutine of its own, until the listener closes. The goroutine counts as running
+// before it begins, so that Drain waits for it however soon it comes.
 func (s *Server) Serve(listener net.Listener) {
-	s.running.Add(1)
-	defer s.running.Done()
+	s.running.Go(func() { s.accept(listener) })
+}
+
+// accept accepts connections until the listener closes.
+func (s *Server) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -28,7 +28,7 @@
 	view := config.New().RoutingTable()
 	handleAny := func(_ context.Context, request *message.Request, _ string) message.Response { return handle(request) }
 	server = New(handleAny, func() *config.RoutingTable { return view }, maxConns, 1<<20)
-	go server.Serve(listener)
+	server.Serve(listener)
 	return server, listener.Addr().String()
 }
 
--- a/internal/proxy/fake_backend_test.go
+++ b/internal/proxy/fake_backend_test.go
@@ -199,7 +199,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	go d.frontend.Serve(listener)
+	d.frontend.Serve(listener)
 	conn, err = net.Dial("tcp4", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
