--- a/internal/rpc/connection.go
+++ b/internal/rpc/connection.go
@@ -10,7 +10,7 @@
 
 const (
 	// firstDialBackoff follows a dial that failed; the pause doubles with each further failure, up to
-	// maxDialBackoff. It stays shorter than the pause of those that look for a leader.
+	// maxDialBackoff: no longer than the longest pause between two questions who leads.
 	firstDialBackoff = 20 * time.Millisecond
 	maxDialBackoff   = 80 * time.Millisecond
 )
