--- a/internal/proxy/malformed_response_test.go
+++ b/internal/proxy/malformed_response_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -12,6 +13,29 @@
 // marker stands in what a backend sends, and never in what a client may receive of a malformed response.
 const marker = "Xmark"
 
+// malformedNames are field lines whose names hold a blank or a control byte.
+func malformedNames() map[string]string {
+	lines := map[string]string{
+		"no name":           ": " + marker,
+		"a name in quotes":  `"` + marker + `": 1`,
+		"no colon":          marker,
+		"a byte above 127":  "X-" + marker + "\xe9: 1",
+		"an empty line, LF": "\n" + marker + ": 1",
+	}
+	for char := range 0x80 {
+		if char > ' ' && char != 0x7f {
+			continue
+		}
+		text := string(rune(char))
+		lines[fmt.Sprintf("%#02x before a name", char)] = text + marker + ": 1"
+		lines[fmt.Sprintf("%#02x in a name", char)] = "X" + text + marker + ": 1"
+		lines[fmt.Sprintf("%#02x behind a name", char)] = marker + text + ": 1"
+		lines[fmt.Sprintf("%#02x behind the name of the length", char)] = "Content-Length" + text + ": 2"
+		lines[fmt.Sprintf("%#02x behind the name of the encoding", char)] = "Transfer-Encoding" + text + ": chunked"
+	}
+	return lines
+}
+
 // rawResponse sends one request over a connection of its own, and gives all bytes that come back.
 func rawResponse(t *testing.T, d *Daemon, method, path, id string) string {
 	t.Helper()
@@ -38,9 +62,9 @@
 	}
 }
 
-// checkNoResponse sends requests to which a backend responds with a text that is no response. The client must receive no
-// byte of it: it gets 502 where the request may run once, and the response to a second attempt where it may run again.
-// The connection is not used again.
+// checkNoResponse sends requests to which a backend responds with a text that is no response. The client must receive
+// no byte of it: it gets 502 where the request may run once, and the response to a second attempt where it may run
+// again. The connection is not used again.
 func checkNoResponse(t *testing.T, name, text string) {
 	t.Helper()
 	for path, status := range map[string]string{"/once/q": "502 Bad Gateway", "/safe/q": "200 OK"} {
@@ -67,6 +91,47 @@
 	}
 }
 
+// A response whose head has a line that is no field is none: its name holds a blank or a control byte.
+func TestAMalformedFieldNameIsNoResponse(t *testing.T) {
+	for name, line := range malformedNames() {
+		own := responseText(200, "ID", marker)
+		status, fields, _ := strings.Cut(own, "\r\n")
+		checkNoResponse(t, name+", first line", status+"\r\n"+line+"\r\n"+fields)
+		checkNoResponse(t, name+", last line", responseText(200, "ID", marker, line))
+		checkNoResponse(t, name+", not run", responseText(503, "ID", "", message.HeaderNotExecuted+": 1", line))
+		checkNoResponse(t, name+", 421 without an id",
+			"HTTP/1.1 421 X\r\nContent-Length: 0\r\n"+line+"\r\n\r\n"+own)
+		checkNoResponse(t, name+", in an interim response", "HTTP/1.1 103 X\r\n"+line+"\r\n\r\n"+own)
+		checkNoResponse(t, name+", in another's", responseText(200, "other", marker, line)+own)
+	}
+}
+
+// The same holds for the responses that a name without its blank would frame.
+func TestAMalformedFramingFieldIsNoResponse(t *testing.T) {
+	own := responseText(200, "ID", marker)
+	for name, text := range map[string]string{
+		"a blank behind the only length":   strings.Replace(own, "Content-Length:", "Content-Length :", 1),
+		"a tab before the only length":     strings.Replace(own, "Content-Length:", "\tContent-Length:", 1),
+		"a blank behind the signature":     strings.Replace(own, "Signature:", "Signature :", 1),
+		"a blank behind the request's id":  strings.Replace(own, "Request-Id:", "Request-Id :", 1),
+		"a folded value":                   strings.Replace(own, "Signature: ", "Signature:\r\n ", 1),
+		"fields that end with LF":          strings.ReplaceAll(own, "\r\n", "\n"),
+		"one field that ends with LF":      strings.Replace(own, "\r\nContent", "\nContent", 1),
+		"an empty line of LF":              strings.Replace(own, "\r\n\r\n", "\r\n\n", 1),
+		"a CR more at the end of a field":  strings.Replace(own, "\r\nContent", "\r\r\nContent", 1),
+		"a chunked body, a blank in there": chunkedText("Transfer-Encoding : chunked", ""),
+	} {
+		checkNoResponse(t, name, text)
+	}
+}
+
+// chunkedText is a success with a body in chunks, given its line of the encoding and its trailer.
+func chunkedText(encoding, trailer string) string {
+	return "HTTP/1.1 200 X\r\n" + message.HeaderRequestID + ": ID\r\n" + message.HeaderResponseSignature +
+		": stamp\r\n" + encoding + "\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(marker), marker) +
+		"0\r\n" + trailer + "\r\n"
+}
+
 // Status 000 is no status, whatever else the response has.
 func TestStatus000IsNoResponse(t *testing.T) {
 	for name, text := range map[string]string{
@@ -82,3 +147,22 @@
 		}
 	}
 }
+
+// Probes read by the same rules: a backend whose answer is no response is neither well nor ill, and the connection is
+// not used again.
+func TestAMalformedProbeResponseIsNoSign(t *testing.T) {
+	const well = "HTTP/1.1 200 OK\r\n" + message.HeaderInstanceID + ": i-1\r\nContent-Length: 0\r\n\r\n"
+	for name, line := range malformedNames() {
+		text := strings.Replace(well, "Content", line+"\r\nContent", 1)
+		backend := newFakeBackend(t, "i-1", func(_ int, _ receivedRequest, conn net.Conn) bool {
+			_, err := io.WriteString(conn, text)
+			return err == nil
+		})
+		d := newTestDaemon(t, backend)
+		target := d.state.backends["i-1"]
+		result, _ := probeEndpoint(d.clock, target, "/health", true)
+		if result != ProbeInvalid || target.openConns != 0 {
+			t.Errorf("%s: result %d, %d open connections", name, result, target.openConns)
+		}
+	}
+}
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"tinpin/internal/http1"
 	"tinpin/internal/rpc"
 )
 
@@ -24,7 +25,7 @@
 type Conn struct {
 	netConn net.Conn
 	raw     syscall.RawConn
-	reader  *lineReader
+	reader  *http1.Reader
 	backend *Backend
 	// fresh tells that no request was sent on it before the present one.
 	fresh bool
@@ -111,7 +112,7 @@
 		b.connEnded()
 		return nil, err
 	}
-	conn = &Conn{netConn: netConn, raw: raw, reader: newLineReader(netConn), backend: b, fresh: true}
+	conn = &Conn{netConn: netConn, raw: raw, reader: http1.NewReader(netConn), backend: b, fresh: true}
 	conn.interrupt = func() { _ = netConn.SetDeadline(longAgo) }
 	conn.peek = conn.look
 	return conn, nil
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -59,7 +59,7 @@
 // none. Informational responses and late ones to requests are skipped.
 func readProbeResponse(conn *Conn) (response *http.Response, result ProbeResult) {
 	for skipped := 0; skipped <= maxSkippedResponses; skipped++ {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: http.MethodGet})
+		response, err := conn.reader.ReadResponse(http.MethodGet)
 		if err != nil {
 			if message.IsTimeout(err) || errors.Is(err, syscall.ETIMEDOUT) {
 				return nil, ProbeTimedOut
--- a/internal/proxy/response_reader.go
+++ b/internal/proxy/response_reader.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net/http"
@@ -16,11 +15,6 @@
 // are read before the request's own.
 const maxSkippedResponses = 4
 
-// lineReader is the buffered reading side of a connection.
-type lineReader = bufio.Reader
-
-func newLineReader(from io.Reader) *lineReader { return bufio.NewReaderSize(from, 4096) }
-
 // responseOwner tells which request a response belongs to.
 type responseOwner uint8
 
@@ -131,22 +125,11 @@
 	return interrupted
 }
 
-// getRequest is what responses to GET are read for; nobody changes it.
-var getRequest = &http.Request{Method: http.MethodGet}
-
-// requestOf is a request as http.ReadResponse wants it: only the method counts.
-func requestOf(method string) *http.Request {
-	if method == http.MethodGet {
-		return getRequest
-	}
-	return &http.Request{Method: method}
-}
-
 // readResponse reads interim responses and responses to other requests up to the one to this request,
 // and releases the connection.
 func (r *responseReader) readResponse() Attempt {
 	for {
-		response, err := http.ReadResponse(r.conn.reader, requestOf(r.request.Method))
+		response, err := r.conn.reader.ReadResponse(r.request.Method)
 		if err != nil {
 			return r.readFailed(err)
 		}
