A response with a malformed trailer is no response

Seen by callers: where the last chunk of a body is followed by lines that are no fields ("X Mark: 1", a folded line, a line that ends with LF), the answer was taken as complete; and a rejection with any malformed end of its chunks, also a chunk size that is none, counted as proof that its request had not run.

Cause: net/http reads trailers as leniently as heads, and the reader of attempts did not tell a body that is malformed from one that is cut short. Only the latter has a head that is a response's.

Change: http1 reads the trailer itself, by the same check as the fields of a head (httputil still reads the chunks), and marks errors of its and net/http's parsers as malformed. readBody returns the error; a rejection whose body is malformed ends the attempt as a failed connection.

Why this works: a response in chunks is complete only behind its trailer, so the end of the body comes only from there. What is passed on as it comes is broken off, as for any other failure of a body.

Of chunk sizes httputil lets pass blanks behind them and any text of an extension: neither changes where a body ends, nor is passed on.

--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -10,7 +10,7 @@
 const (
 	// bufferBytes is the size of a connection's buffer; few heads are larger.
 	bufferBytes = 4 << 10
-	// maxHeadBytes bounds the head of a response.
+	// maxHeadBytes bounds the head of a response, and the trailer of its body.
 	maxHeadBytes = 64 << 10
 )
 
@@ -32,8 +32,8 @@
 func (r *Reader) Buffered() int { return r.buffered.Buffered() }
 
 // ReadResponse reads the head of the next response, final or interim, to a request with a method. The response's body
-// must be read to its end before the next one. Bytes that are no response give a *MalformedError; nothing of them may
-// be used, nor the connection again.
+// must be read to its end before the next one. Bytes that are no response give a *MalformedError, from here or from
+// the body; nothing of that response may be used, nor the connection again.
 func (r *Reader) ReadResponse(method string) (*http.Response, error) {
 	if err := r.checkHead(); err != nil {
 		return nil, err
@@ -42,6 +42,9 @@
 	if err != nil {
 		return nil, asMalformed(err)
 	}
+	if len(response.TransferEncoding) > 0 && response.Body != http.NoBody {
+		response.Body = newChunkedBody(r)
+	}
 	return response, nil
 }
 
--- a/internal/http1/reader_test.go
+++ b/internal/http1/reader_test.go
@@ -1,7 +1,9 @@
 package http1
 
 import (
+	"errors"
 	"io"
+	"net/http"
 	"regexp"
 	"strings"
 	"testing"
@@ -13,6 +15,10 @@
 	"(?s-m)^[^\\n]*\\r\\n" +
 		"([!#$%&'*+\\-.^_`|~0-9A-Za-z]+:[\\t\\x20-\\x7e\\x80-\\xff]*\\r\\n)*\\r\\n")
 
+// trailerGrammar is the end of a chunked body.
+var trailerGrammar = regexp.MustCompile(
+	"(?s-m)\\r\\n0+[^\\r\\n]*\\r\\n([!#$%&'*+\\-.^_`|~0-9A-Za-z]+:[\\t\\x20-\\x7e\\x80-\\xff]*\\r\\n)*\\r\\n$")
+
 // latin1 makes each byte of a text one rune of the same number, as the grammars count.
 func latin1(text string) string {
 	runes := make([]rune, len(text))
@@ -55,6 +61,9 @@
 		"a trailer": {
 			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: 1\r\nY: 2\r\n\r\n", "ok",
 		},
+		"a long trailer": {
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: " + long + "\r\n\r\n", "ok",
+		},
 		"a long head":             {"HTTP/1.1 200 OK\r\nX: " + long + "\r\nContent-Length: 2\r\n\r\nok", "ok"},
 		"a long head, long body":  {"HTTP/1.1 200 OK\r\nX: " + long + "\r\nContent-Length: 10000\r\n\r\n" + long, long},
 		"a head of a buffer":      {boundary + long[:bufferBytes-len(boundary)-4] + "\r\n\r\nok", "ok"},
@@ -90,7 +99,7 @@
 func TestResponsesFollowEachOther(t *testing.T) {
 	const count = 5
 	one := "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nX: " + strings.Repeat("v", 3000) +
-		"\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: " + strings.Repeat("v", 50) + "\r\n\r\n"
+		"\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: " + strings.Repeat("v", 5000) + "\r\n\r\n"
 	reader := NewReader(strings.NewReader(strings.Repeat(one, count)))
 	for i := range count {
 		for _, want := range []string{"", "ok"} {
@@ -103,7 +112,24 @@
 			}
 		}
 	}
-	if _, err := reader.ReadResponse("GET"); err != io.ErrUnexpectedEOF {
+	if _, err := reader.ReadResponse("GET"); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Error(err)
+	}
+}
+
+// A connection that ends within a response has failed; what has come is not malformed. The connection's own errors
+// stay what they are.
+func TestAnEndWithinAResponseIsTheConnections(t *testing.T) {
+	text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: 1\r\n\r\n"
+	broken := errors.New("broken")
+	for length := range len(text) {
+		_, _, err := readAll(strings.NewReader(text[:length]), "GET")
+		if !errors.Is(err, io.ErrUnexpectedEOF) || IsMalformed(err) {
+			t.Errorf("%d bytes: %v", length, err)
+		}
+	}
+	from := io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\nA"), iotest.ErrReader(broken))
+	if _, _, err := readAll(from, "GET"); !errors.Is(err, broken) {
 		t.Error(err)
 	}
 }
@@ -114,6 +140,7 @@
 	for name, text := range map[string]string{
 		"one line":    strings.Repeat("a", 2*maxHeadBytes),
 		"many fields": "HTTP/1.1 200 OK\r\n" + fields,
+		"a trailer":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + fields,
 	} {
 		if _, _, err := readAll(strings.NewReader(text), "GET"); !IsMalformed(err) {
 			t.Errorf("%s: %v", name, err)
@@ -121,7 +148,7 @@
 	}
 }
 
-// Whatever is read as a head is one by the grammar.
+// Whatever is read as a response is one by the grammar, up to where it was consumed.
 func FuzzReadResponse(f *testing.F) {
 	for _, text := range []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
@@ -136,8 +163,20 @@
 	}
 	f.Fuzz(func(t *testing.T, text string) {
 		reader := NewReader(strings.NewReader(text))
-		if _, err := reader.ReadResponse("GET"); err == nil && !headGrammar.MatchString(latin1(text)) {
+		response, err := reader.ReadResponse("GET")
+		if err != nil {
+			return
+		}
+		if !headGrammar.MatchString(latin1(text)) {
 			t.Fatalf("%q is read as a head", text)
 		}
+		data, err := io.ReadAll(response.Body)
+		if err != nil || len(response.TransferEncoding) == 0 || response.Body == http.NoBody {
+			return
+		}
+		if consumed := text[:len(text)-reader.Buffered()]; len(text) < bufferBytes &&
+			!trailerGrammar.MatchString(latin1("\r\n"+consumed)) {
+			t.Fatalf("%q is read as a chunked body of %d bytes", consumed, len(data))
+		}
 	})
 }
--- a/internal/proxy/malformed_response_test.go
+++ b/internal/proxy/malformed_response_test.go
@@ -148,6 +148,47 @@
 	}
 }
 
+// What follows the last chunk belongs to the response: a trailer that is none makes it no response.
+func TestAMalformedTrailerIsNoResponse(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked"
+	trailers := malformedNames()
+	trailers["a control byte in a value"] = "X-" + marker + ": \x01"
+	for name, line := range trailers {
+		checkNoResponse(t, name, chunkedText(chunked, line+"\r\n"))
+		notRun := chunkedText(chunked+"\r\n"+message.HeaderNotExecuted+": 1", line+"\r\n")
+		checkNoResponse(t, name+", not run", strings.Replace(notRun, "200", "503", 1))
+	}
+	own := chunkedText(chunked, "")
+	for name, text := range map[string]string{
+		"an empty line of LF":   strings.TrimSuffix(own, "\r\n") + "\n",
+		"a size that is none":   strings.Replace(own, "\r\n5\r\n", "\r\nfive\r\n", 1),
+		"a size that is short":  strings.Replace(own, "\r\n5\r\n", "\r\n4\r\n", 1),
+		"a size line of LF":     strings.Replace(own, "\r\n5\r\n", "\r\n5\n", 1),
+		"no end, other's bytes": strings.Replace(own, "\r\n0\r\n\r\n", responseText(200, "ID", "x"), 1),
+	} {
+		checkNoResponse(t, name, text)
+	}
+}
+
+// A response that is passed on as it comes, and whose end turns out to be none, does not look complete.
+func TestAMalformedEndOfAStreamIsNotPassedOn(t *testing.T) {
+	large := strings.Repeat("0123456789", 60000)
+	for trailer, complete := range map[string]bool{
+		"": true, "X-Trailer: 1\r\n": true,
+		"X Trailer: 1\r\n": false, " X-Trailer: 1\r\n": false, "X-Trailer\r\n": false,
+	} {
+		text := strings.Replace(chunkedText("Transfer-Encoding: chunked", trailer),
+			fmt.Sprintf("%x\r\n%s", len(marker), marker), fmt.Sprintf("%x\r\n%s", len(large), large), 1)
+		d := newTestDaemon(t, newFakeBackend(t, "i-1", respondOnce(text)))
+		conn, in := dialFrontend(t, d)
+		_, _ = io.WriteString(conn, requestText("GET", "/stream/q", "ab"))
+		_, body, err := readResponseFrom(t, in, "GET")
+		if complete != (err == nil) || complete && body != large {
+			t.Errorf("trailer %q: %d bytes, %v", trailer, len(body), err)
+		}
+	}
+}
+
 // Probes read by the same rules: a backend whose answer is no response is neither well nor ill, and the connection is
 // not used again.
 func TestAMalformedProbeResponseIsNoSign(t *testing.T) {
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -66,7 +66,7 @@
 			}
 			return nil, ProbeInvalid
 		}
-		if _, whole, _ := readBody(response, maxBufferedBody); !whole {
+		if _, rest, bodyErr := readBody(response, maxBufferedBody); bodyErr != nil || rest != nil {
 			return nil, ProbeInvalid
 		}
 		if response.Header.Get(message.HeaderRequestID) == "" && response.StatusCode >= 200 {
--- a/internal/proxy/response_reader.go
+++ b/internal/proxy/response_reader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tinpin/internal/apierror"
+	"tinpin/internal/http1"
 	"tinpin/internal/message"
 )
 
@@ -155,14 +156,14 @@
 // the response is to be skipped.
 func (r *responseReader) takeFinal(response *http.Response) (attempt Attempt, skip bool) {
 	owner := r.owner(response)
-	body, complete, rest := readBody(response, bufferLimit(r.request))
-	if !complete && rest == nil {
-		if owner == ownerThisRequest && notExecuted(response) {
-			return r.end(Rejected), false
-		}
-		return r.end(ConnectionFailed), false
-	}
+	body, rest, err := readBody(response, bufferLimit(r.request))
+	complete := err == nil && rest == nil
 	switch {
+	case err != nil && owner == ownerThisRequest && notExecuted(response) && !http1.IsMalformed(err):
+		// Its head is a response's; only the text for people is cut short.
+		return r.end(Rejected), false
+	case err != nil:
+		return r.end(ConnectionFailed), false
 	case owner == ownerThisRequest:
 		return r.accept(response, body, complete, rest), false
 	case owner == ownerOtherRequest && complete && !response.Close && r.skipped < maxSkippedResponses:
@@ -253,25 +254,25 @@
 }
 
 // readBody reads a small body completely; of a large one it returns the beginning and a reader of the
-// rest. A body without a length ends with its connection: in order, or it is not complete.
-func readBody(response *http.Response, limit int64) (body []byte, complete bool, rest io.Reader) {
+// rest. A body without a length ends with its connection: in order, or there is an error.
+func readBody(response *http.Response, limit int64) (body []byte, rest io.Reader, err error) {
 	if response.Body == http.NoBody || response.ContentLength == 0 {
-		return nil, true, nil
+		return nil, nil, nil
 	}
 	if response.ContentLength > limit {
-		return nil, false, response.Body
+		return nil, response.Body, nil
 	}
 	if response.ContentLength > 0 {
 		body = make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err == nil, nil
+		_, err = io.ReadFull(response.Body, body)
+		return body, nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, err = io.ReadAll(io.LimitReader(response.Body, limit+1))
 	if err != nil {
-		return nil, false, nil
+		return nil, nil, err
 	}
 	if int64(len(body)) > limit {
-		return body, false, response.Body
+		return body, response.Body, nil
 	}
-	return body, true, nil
+	return body, nil, nil
 }
