A response that frames its body in two ways is no response

Seen by callers: where a backend's head had both Content-Length and Transfer-Encoding, or chunks in HTTP/1.0, they got the body that net/http made of it. Where the two differ nobody knows which bytes are the backend's body; RFC 9112 (6.1, 6.3) has both handled as errors. In HTTP/1.0 the chunks' own bytes were the body, up to the end of the connection.

Cause: net/http drops the length beside an encoding, and the encoding in HTTP/1.0, and goes on.

Change: http1 looks for both while it checks the names of a head. Of two equal lengths the one is still taken (RFC 9112, 6.3); two different ones, and encodings other than chunked, net/http refuses already, and the test keeps that.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -9,8 +9,20 @@
 var (
 	lineEnd = []byte("\r\n")
 	colon   = []byte(":")
+	http10  = []byte("HTTP/1.0 ")
+	// The fields that frame a body.
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
 )
 
+// framing is what the lines of a head have said about where the body ends.
+type framing struct {
+	// http10 tells that the version is HTTP/1.0.
+	http10   bool
+	length   bool
+	encoding bool
+}
+
 // checkHead waits for the whole head of a response and checks it. Nothing of it is consumed.
 func (r *Reader) checkHead() error {
 	line, err := r.peekLine(0)
@@ -20,15 +32,37 @@
 	if !bytes.HasSuffix(line, lineEnd) {
 		return malformed("line end", line)
 	}
+	head := framing{http10: bytes.HasPrefix(line, http10)}
 	for offset := len(line); ; offset += len(line) {
 		if line, err = r.peekLine(offset); err != nil {
 			return err
 		}
 		name, fieldErr := fieldName(line)
-		if fieldErr != nil || name == nil {
+		switch {
+		case fieldErr != nil:
 			return fieldErr
+		case name == nil:
+			return head.check()
 		}
+		head.add(name)
+	}
+}
+
+// add takes the name of a field.
+func (f *framing) add(name []byte) {
+	f.length = f.length || bytes.EqualFold(name, contentLength)
+	f.encoding = f.encoding || bytes.EqualFold(name, transferEncoding)
+}
+
+// check tells whether the fields frame the body in one way only (RFC 9112, sections 6.1 and 6.3).
+func (f *framing) check() error {
+	switch {
+	case f.encoding && f.length:
+		return malformed("both Content-Length and Transfer-Encoding", nil)
+	case f.encoding && f.http10:
+		return malformed("Transfer-Encoding in HTTP/1.0", nil)
 	}
+	return nil
 }
 
 // fieldName gives the name on a line of a head or of a trailer; the empty line that ends them has none. net/http
--- a/internal/proxy/malformed_response_test.go
+++ b/internal/proxy/malformed_response_test.go
@@ -189,6 +189,24 @@
 	}
 }
 
+// A response whose head frames its body in two ways, or in none that its version has, is none.
+func TestContradictoryFramingIsNoResponse(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked"
+	text := chunkedText(chunked, "")
+	for name, text := range map[string]string{
+		"length and encoding":    chunkedText("Content-Length: 5\r\n"+chunked, ""),
+		"encoding and length":    chunkedText(chunked+"\r\ncontent-length: 5", ""),
+		"encoding in HTTP/1.0":   strings.Replace(text, "HTTP/1.1", "HTTP/1.0", 1),
+		"two encodings":          chunkedText(chunked+"\r\n"+chunked, ""),
+		"an unknown encoding":    chunkedText("Transfer-Encoding: gzip, chunked", ""),
+		"two lengths":            responseText(200, "ID", marker, "Content-Length: 4"),
+		"a length with a sign":   strings.Replace(responseText(200, "ID", marker), "Length: 5", "Length: +5", 1),
+		"a length without value": strings.Replace(responseText(200, "ID", marker), "Length: 5", "Length:", 1),
+	} {
+		checkNoResponse(t, name, text)
+	}
+}
+
 // Probes read by the same rules: a backend whose answer is no response is neither well nor ill, and the connection is
 // not used again.
 func TestAMalformedProbeResponseIsNoSign(t *testing.T) {
