A response with a malformed status line is no response, also for probes (status 000 too)

Seen by callers: lines that no grammar has were taken for answers: another version (HTTP/2.0, HTTP/0.9), two blanks or none where one is due, control bytes in the phrase. Seen by probes: a status outside 100 to 599, such as 000, was passed over as an interim response, and what came behind it made the backend well.

Cause: net/http's leniency; and the range of statuses was decided where attempts read, not where probes do.

Change: http1 checks the status line by RFC 9112, section 4, and RFC 9110, section 15, for every reader; the check of the range in responseReader is gone, since it stands there.

Result: on the code before, TestAMalformedStatusLineIsNoResponse fails with 14 messages and the two new cases of TestAMalformedProbeResponseIsNoSign fail; all pass now, also under -race. TestStatus000IsNoResponse goes on passing.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -6,10 +6,17 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// Parts of a status line, by RFC 9112, section 4: HTTP-version SP status-code SP [ reason-phrase ].
+const (
+	versionPrefix = "HTTP/1."
+	minorAt       = len(versionPrefix)
+	statusAt      = minorAt + len("1 ")
+	reasonAt      = statusAt + len("200 ")
+)
+
 var (
 	lineEnd = []byte("\r\n")
 	colon   = []byte(":")
-	http10  = []byte("HTTP/1.0 ")
 	// The fields that frame a body.
 	contentLength    = []byte("Content-Length")
 	transferEncoding = []byte("Transfer-Encoding")
@@ -29,10 +36,10 @@
 	if err != nil {
 		return err
 	}
-	if !bytes.HasSuffix(line, lineEnd) {
-		return malformed("line end", line)
+	if err = checkStatusLine(line); err != nil {
+		return err
 	}
-	head := framing{http10: bytes.HasPrefix(line, http10)}
+	head := framing{http10: line[minorAt] == '0'}
 	for offset := len(line); ; offset += len(line) {
 		if line, err = r.peekLine(offset); err != nil {
 			return err
@@ -65,6 +72,33 @@
 	return nil
 }
 
+// checkStatusLine checks the first line of a response. Statuses are 100 to 599 (RFC 9110, section 15).
+func checkStatusLine(line []byte) error {
+	text, ended := bytes.CutSuffix(line, lineEnd)
+	if !ended || len(text) < reasonAt || !bytes.HasPrefix(text, []byte(versionPrefix)) {
+		return malformed("status line", line)
+	}
+	spaces := text[minorAt+1] == ' ' && text[reasonAt-1] == ' '
+	status := text[statusAt : reasonAt-1]
+	if !spaces || !areDigits(text[minorAt:minorAt+1]) || !areDigits(status) || status[0] < '1' || status[0] > '5' {
+		return malformed("status line", line)
+	}
+	// A reason phrase holds the bytes of a field's value.
+	if !httpguts.ValidHeaderFieldValue(string(text[reasonAt:])) {
+		return malformed("reason phrase", line)
+	}
+	return nil
+}
+
+func areDigits(text []byte) bool {
+	for _, char := range text {
+		if char < '0' || char > '9' {
+			return false
+		}
+	}
+	return true
+}
+
 // fieldName gives the name on a line of a head or of a trailer; the empty line that ends them has none. net/http
 // checks the bytes of values, but neither blanks in a name, nor a blank before it, which folds the line, nor line ends.
 func fieldName(line []byte) (name []byte, err error) {
--- a/internal/http1/reader_test.go
+++ b/internal/http1/reader_test.go
@@ -12,7 +12,7 @@
 
 // headGrammar is a head by RFC 9112, sections 4 and 5, written apart from the code that is tested.
 var headGrammar = regexp.MustCompile(
-	"(?s-m)^[^\\n]*\\r\\n" +
+	"(?s-m)^HTTP/1\\.[0-9] [1-5][0-9]{2} [\\t\\x20-\\x7e\\x80-\\xff]*\\r\\n" +
 		"([!#$%&'*+\\-.^_`|~0-9A-Za-z]+:[\\t\\x20-\\x7e\\x80-\\xff]*\\r\\n)*\\r\\n")
 
 // trailerGrammar is the end of a chunked body.
--- a/internal/proxy/malformed_response_test.go
+++ b/internal/proxy/malformed_response_test.go
@@ -207,12 +207,30 @@
 	}
 }
 
+// A status line has a version of HTTP/1, a status and a phrase, with one blank between them.
+func TestAMalformedStatusLineIsNoResponse(t *testing.T) {
+	own := responseText(200, "ID", marker)
+	for _, line := range []string{
+		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.10 200 OK", "HTTP/1 200 OK", "http/1.1 200 OK", "ICY 200 OK",
+		"HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", " HTTP/1.1 200 OK", "\r\nHTTP/1.1 200 OK",
+		"HTTP/1.1 200", "HTTP/1.1 200OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 O\rK", "HTTP/1.1 200 OK\x7f",
+	} {
+		checkNoResponse(t, fmt.Sprintf("%q", line), strings.Replace(own, "HTTP/1.1 200 X", line, 1))
+	}
+}
+
 // Probes read by the same rules: a backend whose answer is no response is neither well nor ill, and the connection is
 // not used again.
 func TestAMalformedProbeResponseIsNoSign(t *testing.T) {
 	const well = "HTTP/1.1 200 OK\r\n" + message.HeaderInstanceID + ": i-1\r\nContent-Length: 0\r\n\r\n"
+	texts := map[string]string{
+		"status 000 before another": "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + well,
+		"another version":           strings.Replace(well, "HTTP/1.1", "HTTP/3.0", 1),
+	}
 	for name, line := range malformedNames() {
-		text := strings.Replace(well, "Content", line+"\r\nContent", 1)
+		texts[name] = strings.Replace(well, "Content", line+"\r\nContent", 1)
+	}
+	for name, text := range texts {
 		backend := newFakeBackend(t, "i-1", func(_ int, _ receivedRequest, conn net.Conn) bool {
 			_, err := io.WriteString(conn, text)
 			return err == nil
--- a/internal/proxy/response_reader.go
+++ b/internal/proxy/response_reader.go
@@ -134,9 +134,6 @@
 		if err != nil {
 			return r.readFailed(err)
 		}
-		if response.StatusCode < 100 || response.StatusCode >= 600 {
-			return r.end(ConnectionFailed)
-		}
 		if response.StatusCode < 200 {
 			if response.StatusCode == http.StatusSwitchingProtocols || r.interim >= maxSkippedResponses {
 				return r.end(ConnectionFailed)
