A field that cannot be written as one is not written, to clients or to backends

Seen by callers: nothing any more since the readers are strict. But the way out trusted them: a keyed response that was stored before an upgrade, or by a node of the release before, could still carry a malformed line to a client; and the name of a client's own field ("X A: 1" passes http.ReadRequest) went to backends as it was.

Cause: the writers of heads appended names and values unchecked.

Change: one function writes a field line, for responses and requests, and leaves out what httpguts does not take.

--- a/internal/message/headers.go
+++ b/internal/message/headers.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Headers of the protocol, with the section of the protocol that defines each.
@@ -32,6 +34,18 @@
 // HeaderField is the name and the value of one header.
 type HeaderField = [2]string
 
+// appendField appends the line of a field to a head, and nothing where its name or value cannot stand in one.
+func appendField(to []byte, field HeaderField) []byte {
+	name, value := field[0], field[1]
+	if !httpguts.ValidHeaderFieldName(name) || !httpguts.ValidHeaderFieldValue(value) {
+		return to
+	}
+	to = append(to, name...)
+	to = append(to, ": "...)
+	to = append(to, value...)
+	return append(to, "\r\n"...)
+}
+
 // isHopByHop tells that a request's header concerns one connection only, or is written anew
 // for each backend.
 func isHopByHop(name string) bool {
--- a/internal/message/request.go
+++ b/internal/message/request.go
@@ -33,10 +33,7 @@
 		head = append(head, part...)
 	}
 	for _, field := range r.Headers {
-		head = append(head, field[0]...)
-		head = append(head, ": "...)
-		head = append(head, field[1]...)
-		head = append(head, "\r\n"...)
+		head = appendField(head, field)
 	}
 	if r.HasBody {
 		head = append(head, "Content-Length: "...)
--- a/internal/message/response.go
+++ b/internal/message/response.go
@@ -70,10 +70,7 @@
 	to = append(to, http.StatusText(r.Status)...)
 	to = append(to, "\r\n"...)
 	for _, field := range r.Headers {
-		to = append(to, field[0]...)
-		to = append(to, ": "...)
-		to = append(to, field[1]...)
-		to = append(to, "\r\n"...)
+		to = appendField(to, field)
 	}
 	switch {
 	case bodyForbidden(r.Status):
