A page of the platform's list with a malformed head is no page

Seen by operators: nothing was reported. A page in whose head the name of a field held a blank was read as a page.

Cause: the leader reads pages through net/http's client, whose leniency is that of http.ReadResponse.

Change: http1.CheckParsed checks version, status and names of a response that net/http's client has read; such a page fails the walk, which is repeated. What does not show any more then, folded lines and line ends, cannot make a wrong page: a page is taken only where its status is 200 and its whole body is the JSON of one.

Result: on the code before, TestAMalformedPageIsNoPage fails at both names with a blank (control bytes, status 000, a head that ends early were refused already); it passes now.

--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -72,15 +72,14 @@
 	return nil
 }
 
-// checkStatusLine checks the first line of a response. Statuses are 100 to 599 (RFC 9110, section 15).
+// checkStatusLine checks the first line of a response.
 func checkStatusLine(line []byte) error {
 	text, ended := bytes.CutSuffix(line, lineEnd)
 	if !ended || len(text) < reasonAt || !bytes.HasPrefix(text, []byte(versionPrefix)) {
 		return malformed("status line", line)
 	}
 	spaces := text[minorAt+1] == ' ' && text[reasonAt-1] == ' '
-	status := text[statusAt : reasonAt-1]
-	if !spaces || !areDigits(text[minorAt:minorAt+1]) || !areDigits(status) || status[0] < '1' || status[0] > '5' {
+	if !spaces || !areDigits(text[minorAt:minorAt+1]) || !isStatus(text[statusAt:reasonAt-1]) {
 		return malformed("status line", line)
 	}
 	// A reason phrase holds the bytes of a field's value.
@@ -90,6 +89,11 @@
 	return nil
 }
 
+// isStatus tells whether three bytes are a status between minStatus and maxStatus.
+func isStatus(text []byte) bool {
+	return areDigits(text) && text[0] >= '0'+minStatus/100 && text[0] <= '0'+maxStatus/100
+}
+
 func areDigits(text []byte) bool {
 	for _, char := range text {
 		if char < '0' || char > '9' {
--- a/internal/registry/platform.go
+++ b/internal/registry/platform.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fastjson"
 	"github.com/zeebo/errs"
 
+	"tinpin/internal/http1"
 	"tinpin/internal/rpc"
 )
 
@@ -156,7 +157,7 @@
 	}
 	body, err = io.ReadAll(io.LimitReader(response.Body, maxPageBytes))
 	_ = response.Body.Close()
-	if err != nil {
+	if err = errors.Join(err, http1.CheckParsed(response)); err != nil {
 		return nil, true, Class.Wrap(err)
 	}
 	if response.StatusCode != http.StatusOK {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -132,3 +132,35 @@
 		}
 	}
 }
+
+// A page whose head is malformed is no page, and says nothing about endpoints.
+func TestAMalformedPageIsNoPage(t *testing.T) {
+	const body = `{"instances":{"column_names":["instance_id"],"row_values":[]},"next_page_token":null}`
+	for head, good := range map[string]bool{
+		"HTTP/1.1 200 OK\r\n":                   true,
+		"HTTP/1.1 200 OK\r\nX-Other: 1\r\n":     true,
+		"HTTP/1.1 200 OK\r\nX Other: 1\r\n":     false,
+		"HTTP/1.1 200 OK\r\nX-Other : 1\r\n":    false,
+		"HTTP/1.1 200 OK\r\nX\x01Other: 1\r\n":  false,
+		"HTTP/1.1 200 OK\r\nX-Other\r\n":        false,
+		"HTTP/1.1 200 OK\r\n\nX-Other: 1\r\n":   false,
+		"HTTP/1.1 000 OK\r\n":                   false,
+		"HTTP/1.1 200 OK\r\n\r\n{},":            false,
+		"HTTP/1.1 200 OK\r\nContent-Length: +9": false,
+	} {
+		platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "%sConnection: close\r\n\r\n%s", head, body)
+			_ = conn.Close()
+		}))
+		client := NewPlatformClient(strings.TrimPrefix(platform.URL, "http://"))
+		if _, _, err := client.Walk(0, func([]rpc.Endpoint) {}); good != (err == nil) {
+			t.Errorf("%q: %v", head, err)
+		}
+		platform.Close()
+	}
+}
