The command line takes no refusal from an answer that is none

Seen by operators: an answer with status 000, or a 4xx with a malformed field name, was reported as the refusal of an order, though nobody had refused it; a 200 with a malformed field name as its acknowledgement.

Cause: adminclient takes every status under 500 but 200 for a final refusal, and net/http's client reads 000 as one.

Change: such an answer is none: the next address is asked, and without another one the outcome is unknown.

--- a/internal/adminclient/call.go
+++ b/internal/adminclient/call.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strings"
 	"time"
+
+	"tinpin/internal/http1"
 )
 
 const (
@@ -103,6 +105,9 @@
 	if answer, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes)); err != nil {
 		return nil, fmt.Errorf("reading the answer of %s: %w", target, err)
 	}
+	if err = http1.CheckParsed(response); err != nil {
+		return nil, fmt.Errorf("reading the answer of %s: %w", target, err)
+	}
 	if response.StatusCode == http.StatusOK {
 		return answer, nil
 	}
--- a/internal/adminclient/client_test.go
+++ b/internal/adminclient/client_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -70,3 +72,35 @@
 		}
 	}
 }
+
+// An answer whose head is malformed is none: the next address is asked, and without another one the outcome is unknown.
+func TestAMalformedAnswerIsNone(t *testing.T) {
+	respond := func(line string) (address string) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nConnection: close\r\n\r\n{\"status\":\"acknowledged\"}", line)
+			_ = conn.Close()
+		}))
+		t.Cleanup(server.Close)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	for line, good := range map[string]bool{
+		"200 OK": true, "200 OK\r\nX Other: 1": false, "422 X\r\nX-Other : 1": false, "200 OK\r\nX\x01: 1": false,
+		"000 X": false,
+	} {
+		var unknown *OutcomeUnknownError
+		client := &Client{Addresses: []string{respond(line)}}
+		done, err := client.Run(context.Background(), &bytes.Buffer{}, "drain", "withdraw", []string{"5"})
+		if done != good || !good && !errors.As(err, &unknown) {
+			t.Errorf("%q: %v, %v", line, done, err)
+		}
+		client.Addresses = append(client.Addresses, respond("200 OK"))
+		if done, err = client.Run(context.Background(), &bytes.Buffer{}, "drain", "withdraw", []string{"5"}); !done {
+			t.Errorf("%q, then a good one: %v", line, err)
+		}
+	}
+}
