Fault test: eight kinds of malformed responses, and clients that read by the grammar

Change: the stand-ins draw them (a blank in a name, behind or before that of the length, an empty line of LF, status 000, two framings, a trailer, a "not run" of a request that has run), each 8 in 1,000; the clients read by package http1 and count what is no response as a wrong one. The texts come from package testutil/malformed, for other stand-ins too.

--- a/internal/faulttest/backend.go
+++ b/internal/faulttest/backend.go
@@ -16,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"tinpin/internal/testutil/malformed"
 )
 
 const (
@@ -168,6 +170,10 @@
 	b.log.Load().RecordRun(ID(number))
 	text, before := answer.text(), s.previous
 	s.previous = text
+	if noResponse := malformedText(fault, answer); noResponse != "" {
+		s.write(noResponse)
+		return false
+	}
 	if s.failAfterRun(fault, text) {
 		return false
 	}
@@ -283,6 +289,25 @@
 	return ""
 }
 
+// malformedKinds are the kinds of malformed responses that faults send in place of the response to a request that ran.
+var malformedKinds = map[Fault]malformed.Kind{
+	BlankInName: malformed.BlankInName, BlankBehindLength: malformed.BlankBehindLength,
+	FoldedLength: malformed.FoldedLength, HeadEndsEarly: malformed.HeadEndsEarly, Status000: malformed.Status000,
+	TwoFramings: malformed.TwoFramings, MalformedTrailer: malformed.Trailer, MalformedNotRun: malformed.BlankInName,
+}
+
+// malformedText is what such a fault sends, up to the end of the connection. It is empty for other faults.
+func malformedText(fault Fault, answer response) (text string) {
+	kind, found := malformedKinds[fault]
+	switch {
+	case !found:
+		return ""
+	case fault == MalformedNotRun:
+		return kind.Response(answer.notRun(http.StatusServiceUnavailable))
+	}
+	return kind.Response(answer.text())
+}
+
 func (s *backendConnection) write(text string) (written bool) {
 	_, err := io.WriteString(s.conn, text)
 	return err == nil
--- a/internal/faulttest/client.go
+++ b/internal/faulttest/client.go
@@ -4,7 +4,6 @@
 // records the outcome of each attempt.
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"tinpin/internal/http1"
 )
 
 const (
@@ -35,7 +36,7 @@
 type clientConnection struct {
 	address string
 	conn    net.Conn
-	in      *bufio.Reader
+	in      *http1.Reader
 	// retryAfter is the Retry-After of the last response.
 	retryAfter time.Duration
 }
@@ -62,7 +63,7 @@
 		l.conn = nil
 		return Class.Wrap(err)
 	}
-	l.in = bufio.NewReader(l.conn)
+	l.in = http1.NewReader(l.conn)
 	return nil
 }
 
@@ -173,9 +174,14 @@
 			response, body, err = each.read(l.in)
 		}
 		if err != nil {
-			c.log.RecordOutcome(each.id, Lost, 0)
+			outcome = Lost
+			if http1.IsMalformed(err) {
+				// Bytes that are no response are nobody's.
+				outcome = WrongResponse
+			}
+			c.log.RecordOutcome(each.id, outcome, 0)
 			l.close()
-			return Lost
+			return outcome
 		}
 		var executedBy ID
 		outcome, executedBy = each.classify(response, body)
@@ -191,9 +197,9 @@
 	return outcome
 }
 
-// read reads the answer to a request.
-func (r request) read(in *bufio.Reader) (response *http.Response, body string, err error) {
-	if response, err = http.ReadResponse(in, &http.Request{Method: r.method}); err != nil {
+// read reads the answer to a request, by the grammar of responses.
+func (r request) read(in *http1.Reader) (response *http.Response, body string, err error) {
+	if response, err = in.ReadResponse(r.method); err != nil {
 		return nil, "", Class.Wrap(err)
 	}
 	data, err := io.ReadAll(response.Body)
--- a/internal/faulttest/fault.go
+++ b/internal/faulttest/fault.go
@@ -42,6 +42,14 @@
 	RejectedTwice
 	BackendError
 	BackendBusy
+	BlankInName
+	BlankBehindLength
+	FoldedLength
+	HeadEndsEarly
+	Status000
+	TwoFramings
+	MalformedTrailer
+	MalformedNotRun
 	faultCount
 )
 
@@ -98,6 +106,14 @@
 	RejectedTwice:          {"rejected twice", 12, anyConnection},
 	BackendError:           {"backend failure", 8, anyConnection},
 	BackendBusy:            {"503 without a word, run", 8, anyConnection},
+	BlankInName:            {"a blank in a name", 8, anyConnection},
+	BlankBehindLength:      {"a blank behind the name of the length", 8, anyConnection},
+	FoldedLength:           {"a tab before the name of the length", 8, anyConnection},
+	HeadEndsEarly:          {"an empty line of LF in the head", 8, anyConnection},
+	Status000:              {"status 000", 8, anyConnection},
+	TwoFramings:            {"a length and chunks", 8, anyConnection},
+	MalformedTrailer:       {"a blank in a name of the trailer", 8, anyConnection},
+	MalformedNotRun:        {"not run, a blank in a name, run", 8, anyConnection},
 }
 
 // draw picks a fault for a request; at is a random number below a thousand.
