The buffer for a long head grows by doubling, not to 64 KiB at once

Cause: gave each connection on which a head of over 4 KiB came a buffer of 64 KiB, kept as long as the connection; a proxy with many such backends could have come near its memory_mb. Found by reading, seen in no run.

Change: the buffer doubles until the head fits. Result: TestTheBufferGrowsWithTheHead fails before (65,536 bytes for heads of 5,043 and 9,043) and passes now; the other tests of http1 pass.

--- a/internal/http1/reader.go
+++ b/internal/http1/reader.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// bufferBytes is the size of a connection's buffer; few heads are larger.
+	// bufferBytes is the size of a connection's buffer at first; few heads are larger.
 	bufferBytes = 4 << 10
-	// maxHeadBytes bounds the head of a response, and the trailer of its body.
+	// maxHeadBytes bounds the head of a response, and the trailer of its body; it is bufferBytes doubled some times.
 	maxHeadBytes = 64 << 10
 )
 
@@ -66,7 +66,7 @@
 		}
 		scanned = len(unread)
 		if scanned >= maxHeadBytes {
-			return nil, malformed("it is too long", unread[offset:])
+			return nil, malformed("head or trailer too long", unread[offset:])
 		}
 		if scanned == r.buffered.Size() {
 			r.grow(unread)
@@ -79,8 +79,8 @@
 	}
 }
 
-// grow replaces the buffer, which is full of unread bytes, by the largest one.
+// grow replaces the buffer, which is full of unread bytes, by one of twice its size.
 func (r *Reader) grow(unread []byte) {
 	source := io.MultiReader(bytes.NewReader(bytes.Clone(unread)), r.conn)
-	r.buffered = bufio.NewReaderSize(source, maxHeadBytes)
+	r.buffered = bufio.NewReaderSize(source, 2*len(unread))
 }
--- a/internal/http1/reader_test.go
+++ b/internal/http1/reader_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// The buffer of a connection grows with the heads that come on it, to less than twice their size.
+func TestTheBufferGrowsWithTheHead(t *testing.T) {
+	for length, want := range map[int]int{100: bufferBytes, 5000: 8 << 10, 9000: 16 << 10, 60_000: maxHeadBytes} {
+		text := "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("v", length) + "\r\nContent-Length: 0\r\n\r\n"
+		reader := NewReader(strings.NewReader(text))
+		if _, err := reader.ReadResponse("GET"); err != nil || reader.buffered.Size() != want {
+			t.Errorf("a head of %d bytes: a buffer of %d, %v", len(text), reader.buffered.Size(), err)
+		}
+	}
+}
+
 // A connection that ends within a response has failed; what has come is not malformed. The connection's own errors
 // stay what they are.
 func TestAnEndWithinAResponseIsTheConnections(t *testing.T) {
