Soak: backends answer with what is no response, and clients read by the grammar

Cause: the soak's backends broke off and were slow, but garbled nothing, and its clients read as leniently as the proxies did. Bytes that are no response could not be seen.

Change: the action "garble" has a backend answer one in five requests, once they have run, with one of the malformed responses of package testutil/malformed, or with a malformed "not run". What a client reads as no response is MIXED, and so is a success that comes from such an answer; the report counts them.

TestRules has six plays more.

--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -14,6 +14,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"tinpin/internal/testutil/malformed"
 )
 
 const (
@@ -38,9 +40,10 @@
 	// when the next life of one that has ended begins.
 	drainExtra = 2 * time.Second
 	backDelay  = 2500 * time.Millisecond
-	// slowFactor and breakShare are what Slow and BreakOff do.
-	slowFactor = 4
-	breakShare = 0.2
+	// slowFactor, breakShare and garbleShare are what Slow, BreakOff and Garble do.
+	slowFactor  = 4
+	breakShare  = 0.2
+	garbleShare = 0.2
 	// crashListed is how long a backend that has crashed stays on the list.
 	crashListed = time.Second
 )
@@ -58,6 +61,7 @@
 	address              string
 	log                  *Log
 	slowUntil, failUntil atomic.Int64
+	garbleUntil          atomic.Int64
 	working              atomic.Int64
 
 	mu       sync.Mutex // guards what follows
@@ -198,6 +202,11 @@
 		b.log.Depart(arrival, BrokeOff)
 		panic(http.ErrAbortHandler)
 	}
+	if b.log.Now() < time.Duration(b.garbleUntil.Load()) && rand.Float64() < garbleShare {
+		b.log.Depart(arrival, Garbled)
+		garble(w, arrival, answer)
+		return
+	}
 	w.Header().Set(headerSignature, arrival.Signature)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if _, err := w.Write(answer); err != nil {
@@ -207,6 +216,25 @@
 	b.log.Depart(arrival, RanToEnd)
 }
 
+// garble sends what is no response, though lenient readers take it for the answer to a request, or for its rejection,
+// and closes the connection.
+func garble(w http.ResponseWriter, arrival *Arrival, answer []byte) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		headerRequestID, arrival.Request, headerSignature, arrival.Signature, len(answer), answer)
+	kind := malformed.Kind(rand.IntN(int(malformed.KindCount) + 1))
+	if kind == malformed.KindCount {
+		kind = malformed.BlankInName
+		text = fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\n%s: full\r\nContent-Length: 0\r\n\r\n",
+			headerRequestID, arrival.Request, headerNotExecuted)
+	}
+	_, _ = io.WriteString(conn, kind.Response(text))
+	_ = conn.Close()
+}
+
 // cutBy tells who has closed a connection: its caller, or the end of this life.
 func (l *backendLife) cutBy() (end RunEnd) {
 	l.backend.mu.Lock()
--- a/internal/soak/check_lost.go
+++ b/internal/soak/check_lost.go
@@ -45,7 +45,7 @@
 		return false
 	}
 	for _, arrival := range arrivals {
-		if arrival.End == BrokeOff {
+		if arrival.End == BrokeOff || arrival.End == Garbled {
 			return false
 		}
 	}
--- a/internal/soak/check_runs.go
+++ b/internal/soak/check_runs.go
@@ -63,9 +63,13 @@
 	return false
 }
 
-// checkAnswer: a success is the whole answer of a run of this request, or of its key; a
+// checkAnswer: what comes is a response; a success is the whole answer of a run of this request, or of its key; a
 // failure does not bear a backend's signature.
 func (c *checker) checkAnswer(request *Request, arrivals []*Arrival) {
+	if request.End == Malformed {
+		c.add(ruleMixed, request.Ended, request.ID, "the answer is no response")
+		return
+	}
 	if request.End != Answered && request.End != Cut || request.Status == 0 {
 		return
 	}
@@ -82,7 +86,8 @@
 		arrivals = c.arrivalsOfKey(request.Key)
 	}
 	for _, arrival := range arrivals {
-		if arrival.Signature == request.Signature && arrival.BodySum == request.BodySum {
+		same := arrival.Signature == request.Signature && arrival.BodySum == request.BodySum
+		if same && arrival.End != Garbled {
 			return
 		}
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -114,6 +114,21 @@
 		s.cut()
 		s.arrival.End = BrokeOff
 	}, ""},
+	"cut after a garbled answer": {Idempotent, func(s *finishedPlay) {
+		s.cut()
+		s.arrival.End = Garbled
+	}, ""},
+	"502 for a garbled answer": {NonIdempotent, func(s *finishedPlay) {
+		s.arrival.End = Garbled
+		s.request.Status, s.request.Signature = 502, ""
+	}, ""},
+	"503 for a garbled answer": {NonIdempotent, func(s *finishedPlay) {
+		s.arrival.End = Garbled
+		s.request.Status, s.request.Signature = 503, ""
+	}, ruleRefused},
+	"a garbled answer is served":       {Idempotent, func(s *finishedPlay) { s.arrival.End = Garbled }, ruleMixed},
+	"a key's garbled answer is served": {Keyed, func(s *finishedPlay) { s.arrival.End = Garbled }, ruleMixed},
+	"a malformed answer":               {Idempotent, func(s *finishedPlay) { s.request.End = Malformed }, ruleMixed},
 	"cut at its deadline": {Idempotent, func(s *finishedPlay) {
 		s.cut()
 		s.request.Ended = playSent + shortDeadline
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +16,7 @@
 	"time"
 
 	"tinpin/internal/await"
+	"tinpin/internal/http1"
 )
 
 const (
@@ -80,7 +80,7 @@
 // clientConn is an open connection of a client.
 type clientConn struct {
 	net.Conn
-	in    *bufio.Reader
+	in    *http1.Reader
 	proxy int
 }
 
@@ -256,12 +256,10 @@
 		_ = c.conn.SetReadDeadline(time.Now().Add(request.Deadline - (log.Now() - request.Sent)))
 		response, readErr := c.read(request)
 		if err = errors.Join(err, readErr); err != nil {
-			end := Cut
-			if errors.Is(readErr, os.ErrDeadlineExceeded) {
-				end = Expired
-			}
-			for _, unread := range requests[i:] {
-				log.Finish(unread, end)
+			end, endBehind := endsOf(readErr)
+			log.Finish(request, end)
+			for _, unread := range requests[i+1:] {
+				log.Finish(unread, endBehind)
 			}
 			c.close()
 			return
@@ -280,6 +278,17 @@
 	}
 }
 
+// endsOf is how a request ends whose response could not be read, and how those behind it do.
+func endsOf(err error) (end, behind End) {
+	switch {
+	case http1.IsMalformed(err):
+		return Malformed, Left
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return Expired, Expired
+	}
+	return Cut, Cut
+}
+
 // waitRetryAfter waits as a rejection asks.
 func (c *client) waitRetryAfter(response *http.Response) {
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
@@ -287,9 +296,9 @@
 	}
 }
 
-// read reads the response to a request.
+// read reads the response to a request, by the grammar of responses.
 func (c *client) read(request *Request) (response *http.Response, err error) {
-	response, err = http.ReadResponse(c.conn.in, &http.Request{Method: kinds[request.Kind].method})
+	response, err = c.conn.in.ReadResponse(kinds[request.Kind].method)
 	if err != nil {
 		return nil, err
 	}
@@ -335,7 +344,7 @@
 		await.Delay(ctx, 10*time.Millisecond)
 		return false
 	}
-	c.conn = &clientConn{Conn: conn, in: bufio.NewReader(conn), proxy: c.system.proxyAt(address)}
+	c.conn = &clientConn{Conn: conn, in: http1.NewReader(conn), proxy: c.system.proxyAt(address)}
 	return true
 }
 
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -101,7 +101,7 @@
 // backend draws something that happens to one backend.
 func (d *drawing) backend(at time.Duration) {
 	target := d.some(BackendRole, d.size.Backends, 0)[0]
-	switch d.rng.IntN(4) {
+	switch d.rng.IntN(5) {
 	case 0:
 		d.add(at, Drain, target, 0)
 	case 1:
@@ -109,6 +109,8 @@
 	case 2:
 		d.add(at, BreakOff, target, d.about(3*time.Second))
 	case 3:
+		d.add(at, Garble, target, d.about(3*time.Second))
+	case 4:
 		d.add(at, Crash, target, d.about(2*time.Second))
 	}
 }
--- a/internal/soak/log.go
+++ b/internal/soak/log.go
@@ -52,11 +52,13 @@
 	Left
 	// Expired: the client has waited for its deadline.
 	Expired
+	// Malformed: by bytes that are no response.
+	Malformed
 )
 
 // String names the end.
 func (e End) String() string {
-	return [...]string{"pending", "answered", "cut", "client left", "deadline"}[e]
+	return [...]string{"pending", "answered", "cut", "client left", "deadline", "malformed"}[e]
 }
 
 // Request is one request as its client saw it.
@@ -93,11 +95,13 @@
 	BrokeOff
 	// Rejected: it did not run, and said so.
 	Rejected
+	// Garbled: it has run, and the backend answered with bytes that are no response.
+	Garbled
 )
 
 // String names the end.
 func (e RunEnd) String() string {
-	return [...]string{"running", "answered", "cut off", "broke off", "rejected"}[e]
+	return [...]string{"running", "answered", "cut off", "broke off", "rejected", "garbled"}[e]
 }
 
 // Arrival is one request as a backend saw it.
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -115,6 +115,8 @@
 		backend.slowUntil.Store(until)
 	case BreakOff:
 		backend.failUntil.Store(until)
+	case Garble:
+		backend.garbleUntil.Store(until)
 	case Crash:
 		backend.end(crashListed, max(event.For, crashListed+addressReuse))
 	}
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -27,6 +27,8 @@
 	Changes  int           `json:"changes"`
 	Accepted int           `json:"changes_acknowledged"`
 	Events   int64         `json:"events"`
+	// Garbled counts runs that backends answered with what is no response.
+	Garbled int `json:"garbled"`
 	// ConnectionsRefused counts connections that a proxy did not take.
 	ConnectionsRefused int64         `json:"connections_refused"`
 	Median             time.Duration `json:"median"`
@@ -70,6 +72,13 @@
 			report.Refused++
 		}
 	}
+	for _, arrivals := range s.log.arrivals {
+		for _, arrival := range arrivals {
+			if arrival.End == Garbled {
+				report.Garbled++
+			}
+		}
+	}
 	return report
 }
 
@@ -90,7 +99,8 @@
 	line("%d requests: %d served, %d answered otherwise; %d connections not taken; median %v, 99 in 100 within %v",
 		r.Requests, r.Served, r.Refused, r.ConnectionsRefused, r.Median.Round(time.Millisecond),
 		r.P99.Round(time.Millisecond))
-	line("%d events, %d of them signals; %d changes, %d acknowledged", r.Events, r.Signals, r.Changes, r.Accepted)
+	line("%d events, %d of them signals; %d changes, %d acknowledged; %d garbled answers",
+		r.Events, r.Signals, r.Changes, r.Accepted, r.Garbled)
 	for _, usage := range r.Usage {
 		line("a %s holds %+v at first, %+v at the end", usage.Role, usage.Before, usage.After)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -54,6 +54,8 @@
 	Slow Action = "slow"
 	// BreakOff has a backend break off some of its answers for For.
 	BreakOff Action = "break-off"
+	// Garble has a backend answer some requests, once they have run, with what is no response, for For.
+	Garble Action = "garble"
 	// Crash ends a backend's connections at once; it is back after For.
 	Crash Action = "crash"
 )
@@ -65,7 +67,7 @@
 	Move: {}, Retime: {}, Idle: {}, BodyLimit: {}, AddRoute: {}, DropRoute: {}, Invalid: {}, Race: {}, Resend: {},
 	Evacuate: {lasting: true},
 	Drain:    {target: true}, Slow: {target: true, lasting: true}, BreakOff: {target: true, lasting: true},
-	Crash: {target: true, lasting: true},
+	Garble: {target: true, lasting: true}, Crash: {target: true, lasting: true},
 }
 
 // Role of a target.
