Stand-ins and tests of malformed responses: what stood twice stands once

Cause: read again, the tests wrote firstResponse of TestFaultyBackends a second time, three places took a connection over to send bytes as they are, and the fault test's malformed responses were a branch beside the faults that end a connection.

Change: firstResponse is a function of the package's tests; malformed.Send serves the soak and two tests; failAfterRun sends the malformed responses too. What is sent, and every assertion, stays.

--- a/internal/adminclient/client_test.go
+++ b/internal/adminclient/client_test.go
@@ -4,12 +4,13 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
+
+	"tinpin/internal/testutil/malformed"
 )
 
 // What the operator reads of a rejection, of a request that was accepted under the
@@ -77,13 +78,10 @@
 func TestAMalformedAnswerIsNone(t *testing.T) {
 	respond := func(line string) (address string) {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
+			text := "HTTP/1.1 " + line + "\r\nConnection: close\r\n\r\n{\"status\":\"acknowledged\"}"
+			if err := malformed.Send(w, text); err != nil {
 				t.Error(err)
-				return
 			}
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nConnection: close\r\n\r\n{\"status\":\"acknowledged\"}", line)
-			_ = conn.Close()
 		}))
 		t.Cleanup(server.Close)
 		return strings.TrimPrefix(server.URL, "http://")
--- a/internal/faulttest/backend.go
+++ b/internal/faulttest/backend.go
@@ -170,11 +170,7 @@
 	b.log.Load().RecordRun(ID(number))
 	text, before := answer.text(), s.previous
 	s.previous = text
-	if noResponse := malformedText(fault, answer); noResponse != "" {
-		s.write(noResponse)
-		return false
-	}
-	if s.failAfterRun(fault, text) {
+	if s.failAfterRun(fault, answer, text) {
 		return false
 	}
 	switch fault {
@@ -222,8 +218,8 @@
 }
 
 // failAfterRun carries out the faults that end a connection after the run, some of them after
-// all or part of the response in text.
-func (s *backendConnection) failAfterRun(fault Fault, text string) (done bool) {
+// all or part of the response in text, some after one that is malformed.
+func (s *backendConnection) failAfterRun(fault Fault, answer response, text string) (done bool) {
 	switch fault {
 	case ResetAfterRun:
 		reset(s.conn)
@@ -238,7 +234,11 @@
 		s.write(text)
 		reset(s.conn)
 	default:
-		return false
+		noResponse := malformedText(fault, answer)
+		if noResponse == "" {
+			return false
+		}
+		s.write(noResponse)
 	}
 	return true
 }
--- a/internal/proxy/malformed_response_test.go
+++ b/internal/proxy/malformed_response_test.go
@@ -132,18 +132,6 @@
 	}
 }
 
-// respondOnce responds to the first request with a text in which ID stands for the request's id, and to the others
-// as it should. It leaves the connection open.
-func respondOnce(text string) responder {
-	return func(n int, r receivedRequest, conn net.Conn) bool {
-		if n > 1 {
-			return respondOK(n, r, conn)
-		}
-		_, err := io.WriteString(conn, strings.ReplaceAll(text, "ID", r.ID))
-		return err == nil
-	}
-}
-
 // A response whose head has a line that is no field is none: its name holds a blank or a control byte.
 func TestAMalformedFieldNameIsNoResponse(t *testing.T) {
 	c := newNoResponseTest(t)
@@ -236,7 +224,7 @@
 	} {
 		text := strings.Replace(chunkedText("Transfer-Encoding: chunked", trailer),
 			fmt.Sprintf("%x\r\n%s", len(marker), marker), fmt.Sprintf("%x\r\n%s", len(large), large), 1)
-		d := newTestDaemon(t, newFakeBackend(t, "i-1", respondOnce(text)))
+		d := newTestDaemon(t, newFakeBackend(t, "i-1", firstResponse(text, true)))
 		conn, in := dialFrontend(t, d)
 		_, _ = io.WriteString(conn, requestText("GET", "/stream/q", "ab"))
 		_, body, err := readResponseFrom(t, in, "GET")
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -20,6 +20,18 @@
 	}
 }
 
+// firstResponse responds to the first request with a text in which ID stands for the request's id, and to the others as
+// it should; keep tells whether the connection stays open behind the text.
+func firstResponse(text string, keep bool) responder {
+	return func(n int, r receivedRequest, conn net.Conn) bool {
+		if n > 1 {
+			return respondOK(n, r, conn)
+		}
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", r.ID))
+		return keep
+	}
+}
+
 // resetAfter sends some text to the first request and resets the connection; later ones are answered.
 func resetAfter(text string) responder {
 	return func(n int, r receivedRequest, conn net.Conn) bool {
@@ -35,15 +47,6 @@
 // A fault of a backend must never reach a client as a success, is followed by a retry only where that is
 // allowed, and must not affect the next request on the connection.
 func TestFaultyBackends(t *testing.T) {
-	firstResponse := func(text string, keep bool) func(int, receivedRequest, net.Conn) bool {
-		return func(n int, r receivedRequest, conn net.Conn) bool {
-			if n > 1 {
-				return respondOK(n, r, conn)
-			}
-			_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", r.ID))
-			return keep
-		}
-	}
 	head := "HTTP/1.1 200 OK\r\n" + message.HeaderRequestID + ": ID\r\n"
 	signedHead := head + message.HeaderResponseSignature + ": s\r\n"
 	cutChunk := "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tinpin/internal/rpc"
+	"tinpin/internal/testutil/malformed"
 )
 
 func TestChangeLogGivesOnlyLaterChanges(t *testing.T) {
@@ -149,13 +150,9 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: +9": false,
 	} {
 		platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := http.NewResponseController(w).Hijack()
-			if err != nil {
+			if err := malformed.Send(w, head+"Connection: close\r\n\r\n"+body); err != nil {
 				t.Error(err)
-				return
 			}
-			_, _ = fmt.Fprintf(conn, "%sConnection: close\r\n\r\n%s", head, body)
-			_ = conn.Close()
 		}))
 		client := NewPlatformClient(strings.TrimPrefix(platform.URL, "http://"))
 		if _, _, err := client.Walk(0, func([]rpc.Endpoint) {}); good != (err == nil) {
--- a/internal/soak/backend.go
+++ b/internal/soak/backend.go
@@ -219,10 +219,6 @@
 // garble sends what is no response, though lenient readers take it for the answer to a request, or for its rejection,
 // and closes the connection.
 func garble(w http.ResponseWriter, arrival *Arrival, answer []byte) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
 	text := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
 		headerRequestID, arrival.Request, headerSignature, arrival.Signature, len(answer), answer)
 	kind := malformed.Kind(rand.IntN(int(malformed.KindCount) + 1))
@@ -231,8 +227,7 @@
 		text = fmt.Sprintf("HTTP/1.1 503 X\r\n%s: %s\r\n%s: full\r\nContent-Length: 0\r\n\r\n",
 			headerRequestID, arrival.Request, headerNotExecuted)
 	}
-	_, _ = io.WriteString(conn, kind.Response(text))
-	_ = conn.Close()
+	_ = malformed.Send(w, kind.Response(text))
 }
 
 // cutBy tells who has closed a connection: its caller, or the end of this life.
--- a/internal/testutil/malformed/malformed.go
+++ b/internal/testutil/malformed/malformed.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"strings"
 )
 
@@ -58,6 +60,17 @@
 	return text
 }
 
+// Send sends a text as it is in place of a handler's response, and closes the connection.
+func Send(w http.ResponseWriter, text string) error {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, text)
+	return err
+}
+
 // chunked puts a response's body in one chunk, and lines of a trailer behind it. The last Content-Length is dropped.
 func chunked(text, trailer string) string {
 	head, body, _ := strings.Cut(text, lineEnd+lineEnd)
