An accepted response is complete where it has no rest: accept derives it

Cause: accept took both, though a body without an error is complete exactly where there is no rest to read. Behaviour stays. Result: tests of proxy pass under -race, linters pass.

--- a/internal/proxy/response_reader.go
+++ b/internal/proxy/response_reader.go
@@ -154,7 +154,7 @@
 func (r *responseReader) takeFinal(response *http.Response) (attempt Attempt, skip bool) {
 	owner := r.owner(response)
 	body, rest, err := readBody(response, bufferLimit(r.request))
-	complete := err == nil && rest == nil
+	complete := rest == nil
 	switch {
 	case err != nil && owner == ownerThisRequest && notExecuted(response) && !http1.IsMalformed(err):
 		// Its head is a response's; only the text for people is cut short.
@@ -162,7 +162,7 @@
 	case err != nil:
 		return r.end(ConnectionFailed), false
 	case owner == ownerThisRequest:
-		return r.accept(response, body, complete, rest), false
+		return r.accept(response, body, rest), false
 	case owner == ownerOtherRequest && complete && !response.Close && r.skipped < maxSkippedResponses:
 		return attempt, true
 	case owner == ownerUnnamed && complete && notExecuted(response) && r.unnamedIsOurs():
@@ -174,8 +174,8 @@
 	return r.end(ConnectionFailed), false
 }
 
-// accept makes the attempt of the request's own response.
-func (r *responseReader) accept(response *http.Response, body []byte, complete bool, rest io.Reader) Attempt {
+// accept makes the attempt of the request's own response. Its body is complete where there is no rest to read.
+func (r *responseReader) accept(response *http.Response, body []byte, rest io.Reader) Attempt {
 	backend := r.conn.backend
 	r.observeHeaders(response.Header)
 	keepAlive := keepAliveOf(response)
@@ -183,7 +183,7 @@
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			backend.setReplaced(r.clock.Now())
 		}
-		r.releaseConn(response, keepAlive, complete)
+		r.releaseConn(response, keepAlive, rest == nil)
 		return Attempt{Outcome: Rejected}
 	}
 	if contradictory(response) {
