Sight: why a change of controllers waits, and how long a signal waited

Callers see nothing of this commit; operators do. The leader logs event 140 where a voter has left, is lost or is missing for over a second and nobody takes its place: the reason, the learner nearest to the place, and how many committed entries it lacks. Event 102 tells how long the signal waited until it was handled (handled_after_ms): signals are stamped by a goroutine of their own when they come.

The logic of neither changes.

--- a/cmd/tinpin/daemon.go
+++ b/cmd/tinpin/daemon.go
@@ -20,7 +20,7 @@
 	// heapTenths is how many tenths of the daemon's memory Go may use; the rest is
 	// for stacks, buffers of the kernel and the store.
 	heapTenths = 6
-	// signalQueue is how many signals may wait while a settings file is read.
+	// signalQueue is how many signals may wait while the daemon starts or a settings file is read.
 	signalQueue = 16
 )
 
@@ -41,8 +41,7 @@
 	}
 	// Signals count from here on: one that comes while the daemon starts is heeded once it has started,
 	// when it may have accepted connections already.
-	signals := make(chan os.Signal, signalQueue)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signals := receiveSignals(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE)
 	p, err := loadSettings()
 	if err != nil {
@@ -61,16 +60,35 @@
 	return attend(running, os.Getenv(settingsVariable), signals, check.C, log)
 }
 
+// receivedSignal is a signal and when it came.
+type receivedSignal struct {
+	os.Signal
+	at time.Time
+}
+
+// receiveSignals notes when each of some signals comes, whatever the daemon is busy with then.
+func receiveSignals(kinds ...os.Signal) (received <-chan receivedSignal) {
+	incoming := make(chan os.Signal, signalQueue)
+	signal.Notify(incoming, kinds...)
+	stamped := make(chan receivedSignal, signalQueue)
+	go func() {
+		for each := range incoming {
+			stamped <- receivedSignal{each, time.Now()}
+		}
+	}()
+	return stamped
+}
+
 // attend heeds signals and changes of the settings file until told to stop.
 func attend(
-	running daemon, path string, signals <-chan os.Signal, check <-chan time.Time, log *eventlog.Logger,
+	running daemon, path string, signals <-chan receivedSignal, check <-chan time.Time, log *eventlog.Logger,
 ) (code int) {
 	last := fileVersion(path)
 	for {
 		select {
 		case received := <-signals:
-			if received != syscall.SIGHUP {
-				stop(running, signals, log)
+			if received.Signal != syscall.SIGHUP {
+				stop(running, received.at, signals, log)
 				return exitOK
 			}
 		case <-check:
@@ -91,8 +109,8 @@
 
 // stop shuts the daemon down. Signals that come meanwhile change nothing: a shutdown has its times, and
 // what is to end sooner gets SIGKILL.
-func stop(running daemon, signals <-chan os.Signal, log *eventlog.Logger) {
-	log.Emit(eventlog.Stopping)
+func stop(running daemon, received time.Time, signals <-chan receivedSignal, log *eventlog.Logger) {
+	log.Emit(eventlog.Stopping, "handled_after_ms", time.Since(received).Milliseconds())
 	stopped := make(chan struct{})
 	go func() {
 		running.Stop()
--- a/cmd/tinpin/daemon_test.go
+++ b/cmd/tinpin/daemon_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"tinpin/internal/eventlog"
 	"tinpin/internal/settings"
@@ -25,12 +26,12 @@
 // A shutdown has its times: no further signal ends it sooner, begins it again or has settings read.
 func TestFurtherSignalsChangeNothing(t *testing.T) {
 	daemon := &slowDaemon{stopping: make(chan struct{}), letGo: make(chan struct{})}
-	signals, ended := make(chan os.Signal), make(chan int, 1)
+	signals, ended := make(chan receivedSignal), make(chan int, 1)
 	go func() { ended <- attend(daemon, "", signals, nil, eventlog.Discard()) }()
-	signals <- syscall.SIGTERM
+	signals <- receivedSignal{syscall.SIGTERM, time.Now()}
 	<-daemon.stopping
 	for _, further := range []os.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT} {
-		signals <- further
+		signals <- receivedSignal{further, time.Now()}
 	}
 	if len(ended) > 0 || daemon.reloads > 0 {
 		t.Errorf("ended %v, %d reloads", len(ended) > 0, daemon.reloads)
--- a/cmd/tinpin/main_test.go
+++ b/cmd/tinpin/main_test.go
@@ -114,11 +114,11 @@
 		}
 	}
 	write("10.0.0.2:1")
-	signals, renew, ended := make(chan os.Signal), make(chan time.Time), make(chan int)
+	signals, renew, ended := make(chan receivedSignal), make(chan time.Time), make(chan int)
 	running := recorder{make(chan string, 4)}
 	go func() { ended <- attend(running, path, signals, renew, eventlog.Discard()) }()
 	renew <- time.Time{} // nothing changed
-	signals <- syscall.SIGHUP
+	signals <- receivedSignal{syscall.SIGHUP, time.Now()}
 	if did := <-running.did; did != "10.0.0.2:1" {
 		t.Fatal(did)
 	}
@@ -129,7 +129,7 @@
 	}
 	write("no address")
 	renew <- time.Time{}
-	signals <- syscall.SIGTERM
+	signals <- receivedSignal{syscall.SIGTERM, time.Now()}
 	if did := <-running.did; did != "stop" {
 		t.Fatalf("bad settings were taken up: %s", did)
 	}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -55,6 +55,7 @@
 	ShutdownPhase
 	SignalIgnored
 	LeaderLost
+	MembershipWaits
 )
 
 // Entry is the fixed part of an event's log line.
@@ -110,6 +111,7 @@
 	ShutdownPhase:           {"shutdown phase ended", info},
 	SignalIgnored:           {"signal ignored during shutdown", info},
 	LeaderLost:              {"leader lost, search begins", warn},
+	MembershipWaits:         {"controller membership change waits", warn},
 }
 
 // Logger writes numbered events.
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -20,8 +20,8 @@
 		}
 		texts[entry.Text] = event
 	}
-	if len(Catalogue) != int(LeaderLost-Started)+1 {
-		t.Errorf("%d entries for %d numbers", len(Catalogue), LeaderLost-Started+1)
+	if len(Catalogue) != int(MembershipWaits-Started)+1 {
+		t.Errorf("%d entries for %d numbers", len(Catalogue), MembershipWaits-Started+1)
 	}
 }
 
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -31,8 +31,19 @@
 	leavingExpiryTicks    = 2 * raft.ElectionTicks
 	joinRejectionLogTicks = 400
 	maxRejectedCandidates = 64
+	// waitLogTicks is for how long a change of members has to wait to be logged, waitLogInterval the ticks until
+	// it is logged again.
+	waitLogTicks    = int(time.Second / raft.TickInterval)
+	waitLogInterval = int(10 * time.Second / raft.TickInterval)
 )
 
+// waitingChange is a change of members that is due and waits.
+type waitingChange struct {
+	// waits tells whether one does; since is the tick at which its wait began, and nextLog that of its next log line.
+	waits          bool
+	since, nextLog int
+}
+
 // JoinRequest asks for membership.
 type JoinRequest struct{ Member raft.Member }
 
@@ -152,8 +163,10 @@
 	decision := n.policy.Decide(view)
 	if decision.Change == membership.NoChange {
 		n.membersChanged = false
+		n.logWaitingChange(n.policy.Waiting(view))
 		return
 	}
+	n.waiting = waitingChange{}
 	accepted, out := n.raft.ProposeMembers(decision.Next)
 	if !accepted {
 		return
@@ -165,6 +178,25 @@
 	n.handleOutput(out)
 }
 
+// logWaitingChange logs what a change of members waits for, once it has waited for a while, and again at intervals.
+func (n *Node) logWaitingChange(wait membership.Wait) {
+	if wait.Reason == membership.NotWaiting {
+		n.waiting = waitingChange{}
+		return
+	}
+	if !n.waiting.waits {
+		n.waiting = waitingChange{waits: true, since: n.ticks, nextLog: n.ticks + waitLogTicks}
+	}
+	if n.ticks < n.waiting.nextLog {
+		return
+	}
+	n.waiting.nextLog = n.ticks + waitLogInterval
+	lag, _ := n.raft.Lag(wait.Learner)
+	waited := time.Duration(n.ticks-n.waiting.since) * raft.TickInterval
+	n.log.Emit(eventlog.MembershipWaits, eventlog.KeyReason, wait.Reason.String(), "voter", string(wait.Voter),
+		"learner", string(wait.Learner), "lag", uint64(lag), "waited_ms", waited.Milliseconds())
+}
+
 func (n *Node) requestJoin() {
 	n.mu.RLock()
 	targets := map[string]bool{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,7 @@
 	rejectedCandidates map[raft.ID]int
 	departing          bool
 	membersChanged     bool
+	waiting            waitingChange
 
 	policy *membership.Policy
 
--- a/internal/raft/configuration.go
+++ b/internal/raft/configuration.go
@@ -82,6 +82,15 @@
 	return known && p.match >= r.commitIndex && p.silentTicks < 2*r.timing.ElectionTicks
 }
 
+// Lag is how many of the committed entries a member's disk is not known to hold, for the leader.
+func (r *Replica) Lag(id ID) (entries Index, known bool) {
+	p, known := r.peers[id]
+	if !known || p.match >= r.commitIndex {
+		return 0, known
+	}
+	return r.commitIndex - p.match, true
+}
+
 // SinceHeard gives the ticks since a member was last heard, for the leader.
 func (r *Replica) SinceHeard(id ID) (ticks int, known bool) {
 	p, known := r.peers[id]
