Failing test: learners far away are not promoted while writes do not pause

tinpin-simulate gets links of different length (-far-link), a writer that never pauses (-write-interval), the check "full strength under steady writes", and the injected bug learnerNeverRaised. Full strength once quiesced is as strict as before: it reads the lag itself.

--- a/cmd/tinpin-simulate/main.go
+++ b/cmd/tinpin-simulate/main.go
@@ -24,8 +24,8 @@
   tinpin-simulate -list                               list the kinds of faults and the bugs that can be injected
 
 RANGE is -seeds and -from, with -parallel and -limit (of real time). SIZE is -length
-(of simulated time), -controllers, -losses, -operators, -edges, -gap (between faults)
-and -catch-up. A seed that fails is shortened and kept in the folder that -keep names;
+(of simulated time), -controllers, -losses, -operators, -edges, -gap (between faults),
+-catch-up, -far-link and -write-interval. A seed that fails is shortened and kept in the folder that -keep names;
 -json prints JSON instead of a table. Progress goes to the error output.
 
 Exit codes: 0 nothing failed (or every injected bug was found), 1 something failed (or
@@ -100,6 +100,10 @@
 	set.DurationVar(&c.options.Gap, "gap", c.options.Gap, "the mean time between faults")
 	set.DurationVar(&c.options.CatchUp, "catch-up", c.options.CatchUp,
 		"how long a controller counts as lost once it is back")
+	set.DurationVar(&c.options.FarLink, "far-link", c.options.FarLink,
+		"how much longer a message takes to a controller that replaces another, one way")
+	set.DurationVar(&c.options.WriteInterval, "write-interval", c.options.WriteInterval,
+		"the time between the changes of a writer that never pauses, 0 for none")
 	set.StringVar(&c.kinds, "faults", "all", "kinds of faults, or all, or none")
 	set.StringVar(&c.inject, "inject", "", "a bug to inject, or all of them")
 	set.StringVar(&c.replay, "replay", "", "a kept case to replay")
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -51,6 +51,7 @@
 	document  *History
 	claimed   *History
 	evacuated *History
+	writer    *Writer
 
 	counts    map[outcome]int
 	unchecked int
@@ -86,6 +87,10 @@
 		edge := &Edge{Caller: w.newCaller()}
 		w.events.After(time.Duration(edge.rng.Intn(800))*time.Millisecond, edge.run)
 	}
+	if options.WriteInterval > 0 {
+		w.writer = &Writer{Caller: w.newCaller()}
+		w.events.After(firstWrite, w.writer.run)
+	}
 	w.watchLosses()
 	return w
 }
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -51,9 +51,11 @@
 type Controller struct {
 	cluster *Cluster
 	host    string
-	member  raft.Member
-	disk    *Disk
-	rng     *rand.Rand
+	// far tells that it lies in another region than the controllers of the start.
+	far    bool
+	member raft.Member
+	disk   *Disk
+	rng    *rand.Rand
 
 	up, gone     bool
 	incarnation  int
--- a/internal/simulation/inject.go
+++ b/internal/simulation/inject.go
@@ -212,6 +212,7 @@
 	w.identities++
 	host := w.newHost()
 	controller = w.addController(host, raft.ID(fmt.Sprintf("%s-%d", host, w.identities)), raft.Snapshot{})
+	controller.far = w.options.FarLink > 0
 	controller.lostAt = w.events.now
 	controller.restartAfter(span)
 	return controller
--- a/internal/simulation/injectedbugs.go
+++ b/internal/simulation/injectedbugs.go
@@ -29,6 +29,7 @@
 	LongLease           InjectedBug = "longLease"
 	WallLease           InjectedBug = "wallLease"
 	EdgeBack            InjectedBug = "edgeBack"
+	LearnerNeverRaised  InjectedBug = "learnerNeverRaised"
 )
 
 // InjectedBugTexts says what each bug is.
@@ -54,6 +55,7 @@
 	{LongLease, "a leader's lease is longer than an election"},
 	{WallLease, "a leader's lease is counted on the wall clock"},
 	{EdgeBack, "an edge takes updates of a leader of an older term, which answers without contact"},
+	{LearnerNeverRaised, "a learner is promoted only at an instant at which it holds all that is committed"},
 }
 
 // Known tells whether there is such a bug.
--- a/internal/simulation/membership.go
+++ b/internal/simulation/membership.go
@@ -74,6 +74,9 @@
 	view.Self, view.Tick, view.Members, view.CaughtUp = c.member.ID, c.ticks, c.raft.Members(), c.raft.CaughtUp
 	view.Leaving = func(id raft.ID) bool { _, leaving := c.leaving[id]; return leaving }
 	view.SinceContact = func(id raft.ID) int { ticks, _ := c.raft.SinceHeard(id); return ticks }
+	if c.cluster.options.InjectedBug == LearnerNeverRaised {
+		view.CaughtUp = c.holdsAll
+	}
 	return view
 }
 
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -35,6 +35,15 @@
 	return span
 }
 
+// linkDelay is how long a message takes from one controller to another.
+func (n *Network) linkDelay(path link) (span time.Duration) {
+	span = n.delay()
+	if path.from.far != path.to.far {
+		span += n.cluster.options.FarLink
+	}
+	return span
+}
+
 // post carries a message of the agreement.
 func (n *Network) post(from *Controller, message raft.Message) {
 	copies, lost := 1, 0
@@ -76,7 +85,7 @@
 		}
 		return
 	}
-	n.cluster.events.After(n.delay(), deliver)
+	n.cluster.events.After(n.linkDelay(path), deliver)
 }
 
 // partition cuts a link for a time.
@@ -91,7 +100,7 @@
 		late := n.delayed[path]
 		delete(n.delayed, path)
 		for _, deliver := range late {
-			n.cluster.events.After(n.delay()+time.Duration(n.rng.Intn(60))*time.Millisecond, deliver)
+			n.cluster.events.After(n.linkDelay(path)+time.Duration(n.rng.Intn(60))*time.Millisecond, deliver)
 		}
 	})
 }
--- a/internal/simulation/options.go
+++ b/internal/simulation/options.go
@@ -21,8 +21,12 @@
 	Edges       int           `json:"edges"`
 	Gap         time.Duration `json:"gap"`
 	CatchUp     time.Duration `json:"catch_up"`
-	Faults      []FaultKind   `json:"troubles"`
-	InjectedBug InjectedBug   `json:"plant,omitempty"`
+	// FarLink is how much longer a message takes between the controllers of the start and those that replace them.
+	FarLink time.Duration `json:"far_link,omitempty"`
+	// WriteInterval is the time between the changes of a writer that never pauses, 0 for no such writer.
+	WriteInterval time.Duration `json:"write_interval,omitempty"`
+	Faults        []FaultKind   `json:"troubles"`
+	InjectedBug   InjectedBug   `json:"plant,omitempty"`
 }
 
 // DefaultOptions is used where nothing else is asked for.
@@ -38,6 +42,7 @@
 	MaxLength      = time.Hour
 	MaxControllers = 15
 	MaxCallers     = 64
+	MaxFarLink     = 500 * time.Millisecond
 )
 
 // Check names every size that cannot be run, in one message.
@@ -63,6 +68,10 @@
 	size("edges", o.Edges, 1, MaxCallers)
 	span("gap", o.Gap, 10*time.Millisecond, MaxLength)
 	span("catch-up", o.CatchUp, 100*time.Millisecond, MaxLength)
+	span("far link", o.FarLink, 0, MaxFarLink)
+	if o.WriteInterval != 0 {
+		span("write interval", o.WriteInterval, time.Millisecond, MaxLength)
+	}
 	if o.InjectedBug != "" && !o.InjectedBug.Known() {
 		invalid = append(invalid, "unknown bug to inject "+string(o.InjectedBug))
 	}
--- a/internal/simulation/play.go
+++ b/internal/simulation/play.go
@@ -62,31 +62,41 @@
 	}
 }
 
-// quiesce ends all faults and waits until the cluster is at full strength.
+// quiesce ends all faults and waits until the cluster is at full strength: first, where a writer goes on, until
+// as many vote as should, and then without any writes until all have everything.
 func (w *Cluster) quiesce() (elapsed time.Duration) {
 	w.ending = true
 	w.heal()
-	quietSince := w.events.now
+	if w.writer != nil {
+		w.awaitNothing("full strength under steady writes", w.missingVoters)
+		w.writer.stopped = true
+	}
+	return w.awaitNothing("full strength once quiesced", w.missing)
+}
+
+// awaitNothing runs until nothing is missing any more, and fails where that takes too long.
+func (w *Cluster) awaitNothing(check string, missing func() (lacking string)) (elapsed time.Duration) {
+	since := w.events.now
 	lacking := ""
-	for w.events.now-quietSince < maxQuiesceWait && w.failure == "" {
+	for w.events.now-since < maxQuiesceWait && w.failure == "" {
 		w.run(w.events.now + 50*time.Millisecond)
-		if lacking = w.missing(); lacking == "" {
+		if lacking = missing(); lacking == "" {
 			break
 		}
 	}
-	elapsed = w.events.now - quietSince
+	elapsed = w.events.now - since
 	switch allowed := w.options.CatchUp + quiesceAllowance; {
 	case w.failure != "":
 	case lacking != "":
-		w.fail("full strength once quiesced: after %s %s", elapsed, lacking)
+		w.fail("%s: after %s %s", check, elapsed, lacking)
 	case elapsed > allowed:
-		w.fail("full strength once quiesced: it took %s, allowed are %s", elapsed, allowed)
+		w.fail("%s: it took %s, allowed are %s", check, elapsed, allowed)
 	}
 	return elapsed
 }
 
-// missing names what is missing to full strength.
-func (w *Cluster) missing() (lacking string) {
+// missingVoters names what is missing to as many voters as should be.
+func (w *Cluster) missingVoters() (lacking string) {
 	leader := w.establishedLeader()
 	if leader == nil {
 		return "nobody leads"
@@ -106,14 +116,30 @@
 	if wanted := min(membership.VotersForLosses(w.options.Losses), len(controllers)); voters != wanted {
 		return fmt.Sprintf("%d vote where %d should", voters, wanted)
 	}
-	for _, controller := range controllers {
-		if controller != leader && !leader.raft.CaughtUp(controller.member.ID) {
+	return ""
+}
+
+// missing names what is missing to full strength.
+func (w *Cluster) missing() (lacking string) {
+	if lacking = w.missingVoters(); lacking != "" {
+		return lacking
+	}
+	leader := w.establishedLeader()
+	for _, controller := range w.remaining() {
+		if controller != leader && !leader.holdsAll(controller.member.ID) {
 			return controller.host + " has not caught up"
 		}
 	}
 	return ""
 }
 
+// holdsAll tells whether a member in contact is known to hold all that is committed at this moment.
+func (c *Controller) holdsAll(id raft.ID) (all bool) {
+	lag, known := c.raft.Lag(id)
+	silent, _ := c.raft.SinceHeard(id)
+	return known && lag == 0 && silent < 2*raft.ElectionTicks
+}
+
 // readAll reads every register through the leader, and compares all controllers with it.
 func (w *Cluster) readAll() {
 	w.run(w.events.now + callTimeout + proposalTimeout)
--- a/internal/simulation/seeds_test.go
+++ b/internal/simulation/seeds_test.go
@@ -35,6 +35,24 @@
 	}
 }
 
+// movingOptions replace five controllers, one after the other, by some that are 20 ms away, while a writer never
+// pauses.
+func movingOptions() (options Options) {
+	options = DefaultOptions()
+	options.Controllers, options.Losses, options.Length, options.Gap = 5, 2, 16*time.Second, 2*time.Second
+	options.Faults, options.FarLink, options.WriteInterval = []FaultKind{Supersede}, 20*time.Millisecond, 5*time.Millisecond
+	return options
+}
+
+// Guards against learners that are never promoted since there is always a write that they do not hold yet.
+func TestLearnersFarAwayArePromotedUnderSteadyWrites(t *testing.T) {
+	for seed := int64(501); seed < 507; seed++ {
+		if result := Play(seed, movingOptions()); result.Failure != "" {
+			t.Errorf("seed %d at %s: %s", seed, result.At, result.Failure)
+		}
+	}
+}
+
 // Each injected bug is found, by the faults that bring it out.
 func TestInjectedBugsAreFound(t *testing.T) {
 	type sought struct {
