A shutdown's times count from when its signal came

Callers could see requests cut off by SIGKILL: a SIGTERM that came while the daemon started or took settings up was handled seconds later, its phases counted from then, and grace_period counts from the signal.

Change: signals are stamped when they come, and shutdown.Sequence counts from that; what is left of the phases is carried out.

--- a/cmd/tinpin/daemon.go
+++ b/cmd/tinpin/daemon.go
@@ -28,7 +28,8 @@
 type daemon interface {
 	// Reload takes changed settings up.
 	Reload(settings.Settings)
-	Stop()
+	// Stop shuts it down; its times count from the signal.
+	Stop(signalled time.Time)
 }
 
 // serve runs a role until it is told to stop.
@@ -113,7 +114,7 @@
 	log.Emit(eventlog.Stopping, "handled_after_ms", time.Since(received).Milliseconds())
 	stopped := make(chan struct{})
 	go func() {
-		running.Stop()
+		running.Stop(received)
 		close(stopped)
 	}()
 	for {
--- a/cmd/tinpin/daemon_test.go
+++ b/cmd/tinpin/daemon_test.go
@@ -18,7 +18,7 @@
 
 func (d *slowDaemon) Reload(settings.Settings) { d.reloads++ }
 
-func (d *slowDaemon) Stop() {
+func (d *slowDaemon) Stop(time.Time) {
 	close(d.stopping)
 	<-d.letGo
 }
--- a/cmd/tinpin/main_test.go
+++ b/cmd/tinpin/main_test.go
@@ -100,19 +100,23 @@
 	}
 }
 
+// writeSettings writes a settings file with one seed.
+func writeSettings(t *testing.T, path, seed string) {
+	t.Helper()
+	text := `{"name":"x","address":"10.0.0.1","zone":"a","region":"n","internal_ports":[7720,7735],"seeds":["` + seed + `"]}`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 type recorder struct{ did chan string }
 
 func (r recorder) Reload(p settings.Settings) { r.did <- strings.Join(p.Seeds, ",") }
-func (r recorder) Stop()                      { r.did <- "stop" }
+func (r recorder) Stop(time.Time)             { r.did <- "stop" }
 
 func TestSettingsAreTakenUpBySignalAndSilently(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "local.json")
-	write := func(seed string) {
-		text := `{"name":"x","address":"10.0.0.1","zone":"a","region":"n","internal_ports":[7720,7735],"seeds":["` + seed + `"]}`
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
+	write := func(seed string) { writeSettings(t, path, seed) }
 	write("10.0.0.2:1")
 	signals, renew, ended := make(chan receivedSignal), make(chan time.Time), make(chan int)
 	running := recorder{make(chan string, 4)}
--- a/internal/controller/shutdown.go
+++ b/internal/controller/shutdown.go
@@ -23,9 +23,9 @@
 	return shutdown.NewTimeline(grace, shutdown.Needs{Announce: leave, Work: callTime})
 }
 
-// Stop shuts the controller down gracefully, see package shutdown.
-func (c *Controller) Stop() {
-	c.shutdown.Run(controllerShutdown{c}, c.logShutdownPhase)
+// Stop shuts the controller down gracefully, see package shutdown. Its times count from when it was signalled to stop.
+func (c *Controller) Stop(signalled time.Time) {
+	c.shutdown.Run(signalled, controllerShutdown{c}, c.logShutdownPhase)
 }
 
 // controllerShutdown carries the phases of a controller's shutdown out.
--- a/internal/loadtest/worker.go
+++ b/internal/loadtest/worker.go
@@ -54,7 +54,7 @@
 	}
 	for lines.Scan() {
 	}
-	process.Stop()
+	process.Stop(time.Now())
 	return nil
 }
 
--- a/internal/localcluster/cluster.go
+++ b/internal/localcluster/cluster.go
@@ -211,7 +211,7 @@
 	edge := s.Proxies[name]
 	delete(s.Proxies, name)
 	go func() {
-		edge.Stop()
+		edge.Stop(time.Now())
 		close(stopped)
 	}()
 	return stopped
@@ -239,7 +239,7 @@
 
 // StopController stops one controller, as a SIGTERM would.
 func (s *Cluster) StopController(name string) {
-	s.Controllers[name].Stop()
+	s.Controllers[name].Stop(time.Now())
 	delete(s.Controllers, name)
 }
 
@@ -248,7 +248,7 @@
 	var stopping sync.WaitGroup
 	for _, edge := range s.Proxies {
 		stopping.Add(1)
-		go func() { defer stopping.Done(); edge.Stop() }()
+		go func() { defer stopping.Done(); edge.Stop(time.Now()) }()
 	}
 	stopping.Wait()
 	for name := range s.Controllers {
--- a/internal/proxy/planning_test.go
+++ b/internal/proxy/planning_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"tinpin/internal/config"
 	"tinpin/internal/rpc"
@@ -33,7 +34,7 @@
 	if !d.isReady() {
 		t.Error("not ready with the configuration and the endpoint list")
 	}
-	d.shutdown.Begin()
+	d.shutdown.Begin(time.Now())
 	if d.isReady() {
 		t.Error("ready though it is to stop")
 	}
--- a/internal/proxy/retry_event_test.go
+++ b/internal/proxy/retry_event_test.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(d.Stop)
+	t.Cleanup(func() { d.Stop(time.Now()) })
 	return d
 }
 
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -31,9 +31,9 @@
 	return shutdown.NewTimeline(grace, shutdown.Needs{Announce: noticeTime, Work: work})
 }
 
-// Stop shuts the node down gracefully, see package shutdown.
-func (d *Daemon) Stop() {
-	d.shutdown.Run(nodeShutdown{d}, d.logShutdownPhase)
+// Stop shuts the node down gracefully, see package shutdown. Its times count from when it was signalled to stop.
+func (d *Daemon) Stop(signalled time.Time) {
+	d.shutdown.Run(signalled, nodeShutdown{d}, d.logShutdownPhase)
 }
 
 // nodeShutdown carries the phases of a node's shutdown out.
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -129,7 +129,7 @@
 		running.Add(1)
 		go func() { defer running.Done(); clients[i].run() }()
 	}
-	d.Stop()
+	d.Stop(time.Now())
 	running.Wait()
 	arrived, served := arrivalCounts(backend), 0
 	for _, client := range clients {
@@ -220,7 +220,7 @@
 				line.AcceptUntil = line.DrainUntil
 			}
 			d.shutdown = shutdown.New(line)
-			d.shutdown.Begin()
+			d.shutdown.Begin(time.Now())
 			response := d.Handle(t.Context(), newRequest("GET", c.path, "a"), c.deadline)
 			if response.Status != c.status {
 				t.Errorf("status %d", response.Status)
@@ -237,7 +237,7 @@
 	d := startTestProxy(t)
 	d.ready.Store(false)
 	begun := time.Now()
-	d.Stop()
+	d.Stop(time.Now())
 	if took := time.Since(begun); took >= ShutdownTimeline(testGracePeriod).AcceptUntil {
 		t.Errorf("it took %v", took)
 	}
--- a/internal/shutdown/sequence.go
+++ b/internal/shutdown/sequence.go
@@ -58,7 +58,7 @@
 // Begun tells whether the shutdown has begun.
 func (s *Sequence) Begun() bool { return s.begun.Load() != nil }
 
-// Elapsed is the time since the shutdown began, 0 while it has not.
+// Elapsed is the time since the signal, 0 while the shutdown has not begun.
 func (s *Sequence) Elapsed() (elapsed time.Duration) {
 	begun := s.begun.Load()
 	if begun == nil {
@@ -79,16 +79,17 @@
 	return s.timeline.Accepts(elapsed, work)
 }
 
-// Begin begins the shutdown; it returns false where it had begun.
-func (s *Sequence) Begin() (first bool) {
-	now := time.Now()
-	return s.begun.CompareAndSwap(nil, &now)
+// Begin begins the shutdown for a signal that came at a time, as the grace period counts
+// from then; it returns false where it had begun.
+func (s *Sequence) Begin(signalled time.Time) (first bool) {
+	return s.begun.CompareAndSwap(nil, &signalled)
 }
 
-// Run begins the shutdown and takes a daemon through its phases. report is called at
-// the end of each. It does nothing where the shutdown had begun.
-func (s *Sequence) Run(daemon Participant, report func(phase Phase)) {
-	if !s.Begin() {
+// Run begins the shutdown for a signal that came at a time, and takes a daemon through its
+// phases: what is left of them where the signal is handled late. report is called at the
+// end of each. It does nothing where the shutdown had begun.
+func (s *Sequence) Run(signalled time.Time, daemon Participant, report func(phase Phase)) {
+	if !s.Begin(signalled) {
 		return
 	}
 	s.phase(s.timeline.AcceptUntil, daemon.Announce)
--- a/internal/shutdown/sequence_test.go
+++ b/internal/shutdown/sequence_test.go
@@ -70,8 +70,8 @@
 	if sequence.Begun() || !sequence.Accepts(Work{TimeLeft: time.Hour}) {
 		t.Error("it stops before the signal")
 	}
-	sequence.Run(daemon, func(Phase) {})
-	sequence.Run(daemon, func(Phase) { t.Error("a second call does something") })
+	sequence.Run(daemon.begun, daemon, func(Phase) {})
+	sequence.Run(time.Now(), daemon, func(Phase) { t.Error("a second call does something") })
 	if !slices.Equal(daemon.calls, want) {
 		t.Errorf("%q, want %q", daemon.calls, want)
 	}
