A leader's disk is late when one commit takes it an election, not when there is always a newer one

Callers could see short pauses of changes: under steady writes a leader whose healthy disk is a few milliseconds behind its followers' handed its leadership over, again and again.

Cause: diskLagTicks grew at each tick at which the disk did not hold the last commit; under steady writes it never does. Change: the commit that is waited for stays until the disk holds it, as with a member's rounds.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -94,7 +94,7 @@
 
 func (r *Replica) becomeLeader() {
 	r.role, r.leader, r.transferTarget, r.timeoutNowSent, r.leaderless = Leader, r.id, "", false, false
-	r.elapsedTicks, r.quorumLostTicks, r.diskLagTicks = 0, 0, 0
+	r.elapsedTicks, r.quorumLostTicks, r.diskLagTicks, r.diskTarget = 0, 0, 0, 0
 	r.peers = map[ID]*progress{}
 	r.refreshMembers()
 	r.startHeartbeatRound()
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -187,11 +187,7 @@
 		r.becomeFollower(r.hardState.Term, "")
 		return
 	}
-	if r.syncedIndex < r.commitIndex {
-		r.diskLagTicks++
-	} else {
-		r.diskLagTicks = 0
-	}
+	r.tickDiskLag()
 	if r.tickTransfer() {
 		return
 	}
@@ -213,10 +209,21 @@
 type leaderHealth struct {
 	// quorumLostTicks counts the ticks without a majority in touch.
 	quorumLostTicks int
-	// diskLagTicks counts the ticks for which its own disk lacks what is committed.
+	// diskLagTicks counts the ticks for which its own disk lacks what was committed up to diskTarget.
+	diskTarget   Index
 	diskLagTicks int
 }
 
+// tickDiskLag measures how long the leader's own disk takes for what is committed. As with a member's rounds the
+// target stays until the disk holds it: of a log that is always written to, the last commit may never be on disk.
+func (r *Replica) tickDiskLag() {
+	if r.syncedIndex < r.diskTarget {
+		r.diskLagTicks++
+		return
+	}
+	r.diskTarget, r.diskLagTicks = r.commitIndex, 0
+}
+
 // checkQuorum counts the silence of each member; it is false once no majority of
 // voters has been heard for half an election, or the leader is no voter any more.
 func (r *Replica) checkQuorum() (keeps bool) {
