--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -87,17 +87,41 @@
 	}
 	snapshot := Snapshot{Index: index, Term: r.termAt(index), Members: r.membersAt(index), Data: data}
 	r.snapshot = snapshot
-	r.trimLog()
+	r.trimLog(r.neededFrom())
 	r.write(Write{Snapshot: &snapshot})
 	return true, r.takeOutput()
 }
 
-// trimLog gives up what lies behind the snapshot beyond the tail.
-func (l *raftLog) trimLog() {
+// transferTailFactor is how much more of the log than the tail is kept for members that need it.
+const transferTailFactor = 4
+
+// neededFrom is the last entry that every member in contact holds, or has on its way in a snapshot: it needs the log
+// behind it, or else the next snapshot, and so on without an end while the log is written to.
+func (r *Replica) neededFrom() (index Index) {
+	index = r.snapshot.Index
+	for _, p := range r.peers {
+		held := p.match
+		if p.outgoing != nil {
+			held = p.outgoing.snapshot.Index
+		}
+		if p.silentTicks < r.timing.ElectionTicks && held >= r.logStart.index {
+			index = min(index, held)
+		}
+	}
+	return index
+}
+
+// trimLog gives up what lies behind the snapshot beyond the tail, but keeps what is needed from an index on, up to a
+// longer tail.
+func (l *raftLog) trimLog(neededFrom Index) {
 	begin, bytes := l.snapshot.Index, 0
 	for begin > l.logStart.index {
 		bytes += len(l.entry(begin).Data) + entryOverhead
-		if int(l.snapshot.Index-begin) >= l.logTail.Entries || bytes > l.logTail.Bytes {
+		tail := l.logTail
+		if begin > neededFrom {
+			tail.Entries, tail.Bytes = transferTailFactor*tail.Entries, transferTailFactor*tail.Bytes
+		}
+		if int(l.snapshot.Index-begin) >= tail.Entries || bytes > tail.Bytes {
 			break
 		}
 		begin--
