Soak: a process is told to stop while it starts

Cause: no play sent a SIGTERM to a process that had not opened its listeners yet but by chance. Change: the action term-starting, drawn for proxies; seeds mean other plays than before.

--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -67,7 +67,7 @@
 
 // episode draws something that happens to processes or backends.
 func (d *drawing) episode(at time.Duration) {
-	switch d.rng.IntN(14) {
+	switch d.rng.IntN(15) {
 	case 0, 1, 2:
 		// A rolling restart: one after the other, often before the last is back.
 		gap := d.about(time.Second)
@@ -93,6 +93,11 @@
 		}
 	case 9:
 		d.add(at, Freeze, d.some(ProxyRole, d.size.Proxies, 0)[0], d.about(2*time.Second))
+	case 10:
+		// Some are told to stop while they start again, one after the other.
+		for i, target := range d.some(ProxyRole, d.size.Proxies, 0.5) {
+			d.add(at+time.Duration(i)*d.about(300*time.Millisecond), TermStarting, target, 0)
+		}
 	default:
 		d.backend(at)
 	}
--- a/internal/soak/play.go
+++ b/internal/soak/play.go
@@ -94,6 +94,9 @@
 	case TermTwice:
 		process.Term()
 		time.AfterFunc(s.grace/4, func() { process.Again() })
+	case TermStarting:
+		process.Kill()
+		process.TermStarting()
 	case Kill:
 		process.Kill()
 	case HUP:
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -299,6 +299,19 @@
 	p.signal(syscall.SIGHUP, always)
 }
 
+// TermStarting waits for the next life and asks it to stop as soon as its program has decided about signals, which
+// is before its listeners are open.
+func (p *Process) TermStarting() {
+	earlier := p.PID()
+	for range loadChecks {
+		if pid := p.PID(); pid != 0 && pid != earlier && isLoaded(pid) {
+			p.Term()
+			return
+		}
+		time.Sleep(loadCheckInterval)
+	}
+}
+
 const (
 	// loadCheckInterval and loadChecks bound the wait for a program that is being loaded.
 	loadCheckInterval = 5 * time.Millisecond
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -22,6 +22,8 @@
 	Term Action = "term"
 	// TermTwice sends SIGTERM, and soon another.
 	TermTwice Action = "term-twice"
+	// TermStarting sends SIGKILL, and SIGTERM to the life that follows while it starts.
+	TermStarting Action = "term-starting"
 	// Kill sends SIGKILL.
 	Kill Action = "kill"
 	// PowerOff sends SIGKILL, and connections to the process hang until it starts again after For.
@@ -62,7 +64,8 @@
 
 // actions that are known, with whether they have a target and a time.
 var actions = map[Action]struct{ target, lasting bool }{
-	Term: {target: true}, TermTwice: {target: true}, Kill: {target: true}, HUP: {target: true},
+	Term: {target: true}, TermTwice: {target: true}, TermStarting: {target: true}, Kill: {target: true},
+	HUP: {target: true},
 	Freeze: {target: true, lasting: true}, PowerOff: {target: true, lasting: true},
 	Move: {}, Retime: {}, Idle: {}, BodyLimit: {}, AddRoute: {}, DropRoute: {}, Invalid: {}, Race: {}, Resend: {},
 	Evacuate: {lasting: true},
