--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -65,7 +65,7 @@
 // actions that are known, with whether they have a target and a time.
 var actions = map[Action]struct{ target, lasting bool }{
 	Term: {target: true}, TermTwice: {target: true}, TermStarting: {target: true}, Kill: {target: true},
-	HUP: {target: true},
+	HUP:    {target: true},
 	Freeze: {target: true, lasting: true}, PowerOff: {target: true, lasting: true},
 	Move: {}, Retime: {}, Idle: {}, BodyLimit: {}, AddRoute: {}, DropRoute: {}, Invalid: {}, Race: {}, Resend: {},
 	Evacuate: {lasting: true},
