--- a/internal/raft/catchup.go
+++ b/internal/raft/catchup.go
@@ -37,7 +37,10 @@
 // CaughtUp tells whether a member in contact keeps up with the leader's log.
 func (r *Replica) CaughtUp(id ID) bool {
 	p, known := r.peers[id]
-	return known && p.catchUp.kept && p.catchUp.ticks < r.timing.ElectionTicks && p.silentTicks < 2*r.timing.ElectionTicks
+	if !known || p.silentTicks >= 2*r.timing.ElectionTicks {
+		return false
+	}
+	return p.catchUp.kept && p.catchUp.ticks < r.timing.ElectionTicks
 }
 
 // Lag is how many of the committed entries a member's disk is not known to hold, for the leader.
--- a/internal/raft/disk_lag_test.go
+++ b/internal/raft/disk_lag_test.go
@@ -18,9 +18,8 @@
 		for len(leader.queued) > left {
 			leader.sync()
 		}
-		for _, id := range []ID{"b", "c"} {
-			leader.step(Message{Kind: MsgAppendResponse, Term: leader.raft.Term(), From: id, Index: leader.raft.LastIndex()})
-		}
+		leader.acknowledge("b", leader.raft.LastIndex())
+		leader.acknowledge("c", leader.raft.LastIndex())
 		leader.take(leader.raft.Tick())
 	}
 	return -1
--- a/internal/raft/log_tail_test.go
+++ b/internal/raft/log_tail_test.go
@@ -16,7 +16,7 @@
 		}
 		leader.syncAll()
 		last := leader.raft.LastIndex()
-		leader.step(Message{Kind: MsgAppendResponse, Term: leader.raft.Term(), From: "c", Index: last})
+		leader.acknowledge("c", last)
 		if step%compactEvery == 0 {
 			_, compacted := leader.raft.Compact(leader.raft.CommitIndex(), state)
 			leader.take(compacted)
--- a/internal/raft/catchup_rounds_test.go
+++ b/internal/raft/replication_lag_test.go
@@ -2,8 +2,13 @@
 
 import "testing"
 
-// keepingUp plays ticks in each of which entries come; the follower acknowledges at each tick what the log held some
-// ticks before. It tells whether the follower counted as caught up at the end, and how far it was behind.
+// acknowledge has a member tell the leader up to which entry its disk holds the log.
+func (b *bench) acknowledge(member ID, index Index) {
+	b.step(Message{Kind: MsgAppendResponse, Term: b.raft.Term(), From: member, Index: index})
+}
+
+// keepingUp plays ticks in each of which entries come; the follower acknowledges at each tick what the log
+// held some ticks before. It tells whether the follower counted as caught up at the end, and its lag.
 func keepingUp(t *testing.T, ticks, entriesPerTick, delay int) (caughtUp bool, lag Index) {
 	t.Helper()
 	leader := newBench(t, "a", HardState{Term: 2}, run(2, 50, 2)...)
@@ -17,9 +22,9 @@
 		leader.syncAll()
 		ends = append(ends, leader.raft.LastIndex())
 		// The other voter is near: what is proposed is committed in the same tick.
-		leader.step(Message{Kind: MsgAppendResponse, Term: leader.raft.Term(), From: "c", Index: leader.raft.LastIndex()})
+		leader.acknowledge("c", leader.raft.LastIndex())
 		if tick >= delay {
-			leader.step(Message{Kind: MsgAppendResponse, Term: leader.raft.Term(), From: "b", Index: ends[tick-delay]})
+			leader.acknowledge("b", ends[tick-delay])
 		}
 		leader.take(leader.raft.Tick())
 	}
@@ -27,7 +32,7 @@
 	return leader.raft.CaughtUp("b"), lag
 }
 
-func TestAMemberKeepsUpWhileItsRoundsAreShort(t *testing.T) {
+func TestAMemberKeepsUpWhileItAcknowledgesInTime(t *testing.T) {
 	for name, c := range map[string]struct {
 		entriesPerTick, delay int
 		want                  bool
@@ -52,9 +57,8 @@
 	leader := newBench(t, "a", HardState{Term: 2}, run(2, 50, 2)...)
 	leader.elect()
 	acknowledge := func() {
-		for _, id := range []ID{"b", "c"} {
-			leader.step(Message{Kind: MsgAppendResponse, Term: leader.raft.Term(), From: id, Index: leader.raft.LastIndex()})
-		}
+		leader.acknowledge("b", leader.raft.LastIndex())
+		leader.acknowledge("c", leader.raft.LastIndex())
 	}
 	acknowledge()
 	if !leader.raft.CaughtUp("b") {
@@ -79,7 +83,9 @@
 		t.Fatal("it holds all again and does not count")
 	}
 	last := leader.raft.LastIndex()
-	leader.step(Message{Kind: MsgAppendResponse, Term: leader.raft.Term(), From: "b", Reject: true, Index: last, Hint: 10, LogTerm: 2})
+	leader.step(Message{
+		Kind: MsgAppendResponse, Term: leader.raft.Term(), From: "b", Reject: true, Index: last, Hint: 10, LogTerm: 2,
+	})
 	if leader.raft.CaughtUp("b") {
 		t.Fatal("an older disk counts as caught up")
 	}
--- a/internal/simulation/seeds_test.go
+++ b/internal/simulation/seeds_test.go
@@ -40,7 +40,8 @@
 func movingOptions() (options Options) {
 	options = DefaultOptions()
 	options.Controllers, options.Losses, options.Length, options.Gap = 5, 2, 16*time.Second, 2*time.Second
-	options.Faults, options.FarLink, options.WriteInterval = []FaultKind{Supersede}, 20*time.Millisecond, 5*time.Millisecond
+	options.Faults = []FaultKind{Supersede}
+	options.FarLink, options.WriteInterval = 20*time.Millisecond, 5*time.Millisecond
 	return options
 }
 
@@ -56,7 +57,8 @@
 
 func TestALearnerThatIsNeverRaisedIsFound(t *testing.T) {
 	t.Parallel()
-	find := Seek(LearnerNeverRaised, movingOptions(), Range{Seeds: 4, From: 501, Parallel: 1, Limit: time.Minute}, func(Report) {})
+	seeds := Range{Seeds: 4, From: 501, Parallel: 1, Limit: time.Minute}
+	find := Seek(LearnerNeverRaised, movingOptions(), seeds, func(Report) {})
 	if !find.Found {
 		t.Errorf("not found by %d seeds", find.Seeds)
 	}
